--- /dev/null
+++ b/internal/simwire/settings.go
@@ -0,0 +1,95 @@
+package simwire
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"minttray/policy"
+)
+
+type conf struct {
+	Balancers  int     `json:"balancers"`
+	Beyond     float64 `json:"beyond-share-benefit"`
+	Categories []struct {
+		Benefit float64 `json:"benefit"`
+		Window  uint64  `json:"dedup-window-us"`
+		Effect  string  `json:"effect"`
+		Group   string  `json:"group"`
+		Tardy   float64 `json:"tardy-benefit"`
+		Target  uint64  `json:"target-latency-us"`
+		TTL     uint64  `json:"ttl-us"`
+	} `json:"categories"`
+	Contract struct {
+		AskEvery     uint64  `json:"ask-every-us"`
+		ColdFrom     float64 `json:"cold-from"`
+		FallMultiple float64 `json:"fall-multiple"`
+		TipAfter     uint64  `json:"tip-after-us"`
+		WarmUp       uint64  `json:"warm-up-us"`
+	} `json:"contract"`
+	Discovery  string `json:"discovery"`
+	FamilyInfo struct {
+		Mode       string `json:"mode"`
+		OriginKind *int   `json:"origin-kind"`
+	} `json:"family-info"`
+	Limits struct {
+		Cancelling    bool   `json:"cancelling"`
+		MaxRetryAfter uint64 `json:"max-retry-after-us"`
+		MayDuplicate  bool   `json:"may-duplicate"`
+		MostPushes    int    `json:"most-pushes"`
+		Probing       bool   `json:"probing"`
+		RetryAfter    bool   `json:"retry-after"`
+	} `json:"limits"`
+	Tenants []struct {
+		Quota float64 `json:"quota-rps"`
+	} `json:"tenants"`
+	Tick uint64 `json:"tick-us"`
+	Zone int    `json:"zone"`
+}
+
+var effects = map[string]policy.Effect{
+	"read_like": policy.Redeliverable, "idempotency_key": policy.Deduplicated, "non_idempotent": policy.AtMostOnce,
+}
+var groups = map[string]policy.Group{"": policy.GroupAll, "all": policy.GroupAll, "zone": policy.GroupZone,
+	"cell": policy.GroupCell}
+
+func decodeSettings(text []byte) (policy.Settings, error) {
+	var c conf
+	var s policy.Settings
+	if err := json.Unmarshal(text, &c); err != nil {
+		return s, fmt.Errorf("settings: %w", err)
+	}
+	if len(c.Categories) == 0 {
+		return s, fmt.Errorf("settings: categories is empty")
+	}
+	s = policy.Settings{
+		BeyondBenefit: c.Beyond, Proxies: max(c.Balancers, 1), Zone: c.Zone,
+		AskList: c.Discovery == "ask", AskEvery: down(c.Contract.AskEvery),
+		Aside: c.FamilyInfo.Mode == "aside", OriginKind: -1,
+		ColdFrom: c.Contract.ColdFrom, WarmUp: down(c.Contract.WarmUp + 99),
+		FallMultiple: c.Contract.FallMultiple, TipAfter: down(c.Contract.TipAfter + 99),
+		Tick: max(down(c.Tick+99), 1), MostPushes: max(c.Limits.MostPushes, 1), Duplicates: c.Limits.MayDuplicate,
+		Cancelling: c.Limits.Cancelling, Probing: c.Limits.Probing,
+	}
+	if c.FamilyInfo.OriginKind != nil {
+		s.OriginKind = *c.FamilyInfo.OriginKind
+	}
+	if c.Limits.RetryAfter {
+		s.MaxRetryAfter = down(c.Limits.MaxRetryAfter)
+	}
+	for i, k := range c.Categories {
+		effect, ok := effects[k.Effect]
+		if !ok {
+			return s, fmt.Errorf("settings: categories[%d].effect: unknown effect %q", i, k.Effect)
+		}
+		group, ok := groups[k.Group]
+		if !ok {
+			return s, fmt.Errorf("settings: categories[%d].group: unknown group %q", i, k.Group)
+		}
+		s.Categories = append(s.Categories, policy.Category{Effect: effect, Group: group, Window: down(k.Window),
+			Target: down(k.Target), TTL: down(k.TTL), Benefit: k.Benefit, Tardy: k.Tardy})
+	}
+	for _, t := range c.Tenants {
+		s.Quotas = append(s.Quotas, t.Quota)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,686 @@
+// Package policy makes all decisions of one minttray proxy. Call New with the settings, a seed and a Host
+// (types.go), then one method for each thing that happens: OpArrived, PushEnded, StreamBegan, ClientLeft,
+// ListArrived, ProbeReturned, TimerDue. The module acts by calling the Host from inside them.
+//
+// The design (docs/design.md) decides the ordinary path: round-mapping over ranked caches, salted candidates
+// and the twice-mean pass. Beside it stand six mechanisms at most:
+//  1. cold budget: what a young cache may be pushed in any window, as a ratio to what the fleet answers;
+//  2. health: a cache that can't be reached, or fails far more than the median, rests and is then probed;
+//  3. limits: in-flight limits for each cache and for the origin, learned from answers in time;
+//  4. shared fetches: misses of one key at this proxy wait for one fetch from the origin;
+//  5. lanes: ops beyond their tenant's share, or of small benefit, are turned away first;
+//  6. push allowance: further pushes by benefit, and as a bounded share of first pushes.
+package policy
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+)
+
+const (
+	slack      = 4   // s0 of the design
+	candidates = 3   // caches that a key may go to on the ordinary path
+	quarters   = 5   // four quarters of the cold window, and the one begun
+	coldMargin = 0.6 // of the cold budget, left for chance and for works of unlike size
+	firstLimit = 16  // in flight, before anything is learned
+	retryShare = 0.2 // further pushes to first pushes
+	tokenTick  = 0
+	tokenWatch = 1
+	tokenOp    = 2 // and up: the op's id
+)
+
+type pcg struct{ state uint64 }
+
+func (p *pcg) next() uint32 {
+	old := p.state
+	p.state = old*6364136223846793005 + 1442695040888963407
+	return bits.RotateLeft32(uint32((old>>18^old)>>27), -int(old>>59))
+}
+
+// between draws a span from lo to hi.
+func (p *pcg) between(lo, hi Time) Time { return lo + Time(uint64(p.next())*uint64(max(hi-lo, 0))>>32) }
+
+// mix is a 64-bit finaliser over a key and a salt.
+func mix(key, salt uint64) uint64 {
+	h := key + (salt+1)*0x9e3779b97f4a7c15
+	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
+	h = (h ^ h>>27) * 0x94d049bb133111eb
+	return h ^ h>>31
+}
+
+// circle is round-mapping (paper, section 2): m arcs, step s, 2^q groups, p the last short arc.
+type circle struct{ m, s, q, p int }
+
+func newCircle(m int) circle {
+	m = max(m, slack)
+	q := bits.Len(uint(m/slack)) - 1
+	s := m >> q
+	return circle{m: m, s: s, q: q, p: (m-s<<q)*(s+1) - 1}
+}
+
+// bucket is Algorithm 1 of the paper.
+func (c circle) bucket(j int) int {
+	if j < slack {
+		return j
+	}
+	s := c.s + 1
+	if j > c.p {
+		j, s = j-(c.p+1)/(c.s+1), c.s
+	}
+	native := (s - 1) / slack
+	x, q := j%s%slack, c.q+native
+	i := (1+native)*(j/s) + j%s/slack
+	return ((slack+x)<<q + i) >> (bits.TrailingZeros(uint(i)) + 1)
+}
+
+// hist counts spans in bins that double, from a tick up.
+type hist [12]float64
+
+func (h *hist) add(bin int) { h[min(bin, len(h)-1)]++ }
+func (h *hist) halve() {
+	for i := range h {
+		h[i] /= 2
+	}
+}
+
+// median is the upper edge of the middle bin, in units of the first.
+func (h *hist) median() Time {
+	var sum, half float64
+	for _, n := range h {
+		half += n / 2
+	}
+	for i, n := range h {
+		if sum += n; sum >= half && sum > 0 {
+			return 1 << i
+		}
+	}
+	return 1
+}
+
+type cache struct {
+	Entry
+	listed     bool
+	out        int           // own pushes in flight
+	sent, done [quarters]int // pushes, and those acked, by quarter
+	good, bad  float64       // answers and failures, halved
+	limit      float64       // in flight, learned
+	cutAt      Time          // the limit last fell
+	fails      int           // connections failed in a row
+	restUntil  Time          // not ready before
+	probing    bool
+	span       hist // answer times
+}
+
+type op struct {
+	id       uint32
+	key      uint64
+	cat      *Category
+	write    bool
+	lane     float64 // share of a limit that it may fill
+	aim, end Time    // the last moment at which an answer has its full benefit, and any
+	most     int     // pushes
+	n        int     // pushes made
+	out      []push
+	tried    []*cache
+	missed   *cache
+	ran      *push // the first push that may have run
+	fetch    *fetch
+	held     bool // nothing is out: it waits for the origin or for a fetch
+	done     bool
+}
+
+type push struct {
+	n  int
+	to *cache
+	at Time
+}
+
+type fetch struct {
+	leader  *op
+	waiting []*op
+}
+
+type tenant struct{ tokens, rate float64 }
+
+type Balancer struct {
+	Settings
+	host     Host
+	rnd      pcg
+	caches   map[uint32]*cache
+	ranks    []*cache
+	circle   circle
+	origin   *cache
+	ops      map[uint32]*op
+	fetches  map[uint64]*fetch
+	queue    []*op // for the origin
+	tenants  []tenant
+	longest  []Time // by category: a client's first try
+	benefit  float64
+	shortest Time // target latency
+	retries  float64
+	ticked   Time
+	rolled   Time
+	watchGap Time
+}
+
+// New starts a proxy; a list of kind ListCached is expected next.
+func New(s Settings, seed uint64, h Host) *Balancer {
+	b := &Balancer{Settings: s, host: h, rnd: pcg{seed}, caches: map[uint32]*cache{}, ops: map[uint32]*op{},
+		fetches: map[uint64]*fetch{}, longest: make([]Time, len(s.Categories)), shortest: s.Categories[0].Target}
+	for _, c := range s.Categories {
+		b.benefit = max(b.benefit, c.Benefit)
+		b.shortest = min(b.shortest, c.Target)
+	}
+	for _, quota := range s.Quotas {
+		rate := quota / float64(s.Proxies)
+		b.tenants = append(b.tenants, tenant{tokens: rate, rate: rate})
+	}
+	b.ticked, b.rolled = h.Now(), h.Now()
+	h.Timer(tokenTick, 4*s.Tick)
+	if s.AskList {
+		h.Watch(true)
+	}
+	return b
+}
+
+// ListArrived takes the whole list, changes to it, or word that a call to the list failed.
+func (b *Balancer) ListArrived(kind ListKind, entries []Entry) {
+	if kind == ListFailed {
+		// Asking again at once from every proxy would bury the list service: the wait doubles, with chance.
+		b.watchGap = min(max(2*b.watchGap, b.AskEvery/16), b.AskEvery/2)
+		b.host.Timer(tokenWatch, b.rnd.between(b.watchGap/2, b.watchGap))
+		return
+	}
+	b.watchGap = 0
+	if kind != ListDelta {
+		for _, c := range b.caches {
+			c.listed = false
+		}
+	}
+	for _, e := range entries {
+		c := b.caches[e.ID]
+		if c == nil {
+			c = &cache{limit: firstLimit}
+			b.caches[e.ID] = c
+		}
+		if e.Start > c.Start {
+			c.restUntil, c.fails = 0, 0 // a new process: old failures say nothing of it
+		}
+		e.Start = max(e.Start, c.Start)
+		c.Entry, c.listed = e, e.State != Gone
+	}
+	b.ranks, b.origin = b.ranks[:0], nil
+	for _, c := range b.caches {
+		if c.listed && c.Kind == b.OriginKind {
+			if b.origin == nil || c.ID < b.origin.ID { // the lowest id, whatever the map's order
+				b.origin = c
+			}
+		} else if c.listed {
+			b.ranks = append(b.ranks, c)
+		}
+	}
+	slices.SortFunc(b.ranks, func(x, y *cache) int {
+		return cmp.Or(cmp.Compare(x.Start, y.Start), cmp.Compare(x.ID, y.ID))
+	})
+	b.circle = newCircle(len(b.ranks))
+	b.pump()
+}
+
+// OpArrived takes an op; left is how long the client waits for this try.
+func (b *Balancer) OpArrived(id uint32, key uint64, category, account int, write bool, left Time) {
+	now := b.host.Now()
+	cat := &b.Categories[min(category, len(b.Categories)-1)]
+	o := &op{id: id, key: key, cat: cat, write: write, lane: 1, end: now + left - b.Tick}
+	b.ops[id] = o
+	// A try that is shorter than a first one tells how much of the TTL is spent.
+	longest := &b.longest[min(category, len(b.Categories)-1)]
+	*longest = max(*longest, left)
+	spent := Time(0)
+	if left < *longest-*longest/50 {
+		spent = max(cat.TTL-left, 0)
+	}
+	o.aim = min(now+cat.Target-spent-2*b.Tick, o.end)
+	if cat.Tardy > 0 || cat.Effect != Redeliverable {
+		o.aim = o.end
+	}
+	o.most = min(2+int(cat.Benefit/b.benefit+0.5), b.MostPushes)
+	o.lane -= 0.2 * (1 - cat.Benefit/b.benefit)
+	if account < len(b.tenants) {
+		if t := &b.tenants[account]; t.tokens >= 1 {
+			t.tokens--
+		} else {
+			o.lane -= 0.4 * (1 - b.BeyondBenefit)
+		}
+	}
+	if key == 0 {
+		o.key = uint64(b.rnd.next())<<32 | uint64(b.rnd.next())
+	}
+	b.retries = min(b.retries+retryShare, 1/retryShare)
+	if o.aim <= now {
+		b.giveUp(o)
+	} else if f := b.fetches[key]; f != nil && !write && key != 0 {
+		b.wait(o, f)
+	} else if write && b.Aside {
+		b.toOrigin(o)
+	} else {
+		b.toCache(o)
+	}
+}
+
+// share is the part of its capacity that a cache has surely reached.
+func (b *Balancer) share(c *cache, now Time) float64 {
+	age := now - c.Start
+	if c.Start == 0 || age >= b.WarmUp {
+		return 1
+	}
+	return b.ColdFrom + (1-b.ColdFrom)*float64(max(age, 0))/float64(b.WarmUp)
+}
+
+// coldRoom keeps a young cache from being pushed over by all proxies together: what each may send it is a
+// ratio to what the fleet answers that same proxy, so the sum is safe however the traffic is spread.
+func (b *Balancer) coldRoom(c *cache, now Time) bool {
+	share := b.share(c, now)
+	if share >= 1 {
+		return true
+	}
+	done, capacity, sent := 0, 0.0, 0
+	for _, r := range b.ranks {
+		capacity += r.Weight * b.share(r, now)
+		for _, n := range r.done {
+			done += n
+		}
+	}
+	for _, n := range c.sent {
+		sent += n
+	}
+	budget := coldMargin * b.FallMultiple * share * c.Weight * float64(done) / capacity
+	return float64(sent+1) <= max(budget, 1)
+}
+
+// allowed tells whether the rules and the cache's state let this op go there now.
+func (b *Balancer) allowed(o *op, c *cache, now Time) bool {
+	if !c.listed || c.State != Ready || slices.Contains(o.tried, c) {
+		return false
+	}
+	if c != b.origin && (now < c.restUntil || c.fails > 0 && b.Probing || !b.coldRoom(c, now)) {
+		return false
+	}
+	if o.ran == nil || o.cat.Effect == Redeliverable {
+		return true
+	}
+	// A repeat that may have run is only dropped inside its group and window.
+	if o.cat.Effect == AtMostOnce || now+b.Tick >= o.ran.at+o.cat.Window {
+		return false
+	}
+	return o.cat.Group == GroupAll || o.cat.Group == GroupZone && c.Zone == o.ran.to.Zone ||
+		o.cat.Group == GroupCell && c.Cell == o.ran.to.Cell
+}
+
+// home is the cache that a key and a salt map to; a missing rank is rehashed.
+func (b *Balancer) home(key, salt uint64) *cache {
+	for try := uint64(0); try < 64; try++ {
+		arc, _ := bits.Mul64(mix(key, salt<<8|try), uint64(b.circle.m))
+		if r := b.circle.bucket(int(arc)); r < len(b.ranks) {
+			return b.ranks[r]
+		}
+	}
+	return b.ranks[0]
+}
+
+// route picks a cache as the design page says.
+func (b *Balancer) route(o *op) *cache {
+	now, total := b.host.Now(), 0
+	for _, c := range b.ranks {
+		total += c.out
+	}
+	mean := float64(total) / float64(max(len(b.ranks), 1))
+	var seen []*cache
+	var least *cache
+	for salt := uint64(0); len(seen) < min(candidates, len(b.ranks)) && salt < 8*candidates; salt++ {
+		c := b.home(o.key, salt)
+		if slices.Contains(seen, c) {
+			continue
+		}
+		seen = append(seen, c)
+		if !b.allowed(o, c, now) {
+			continue
+		}
+		if float64(c.out) <= max(2*mean, mean+2) {
+			return c
+		}
+		if least == nil || c.out < least.out {
+			least = c
+		}
+	}
+	if least == nil { // no candidate is ready: any ready cache
+		for _, c := range b.ranks {
+			if b.allowed(o, c, now) && (least == nil || c.out < least.out) {
+				least = c
+			}
+		}
+	}
+	return least
+}
+
+func (b *Balancer) toCache(o *op) {
+	c := b.route(o)
+	switch {
+	case c == nil && b.Aside && o.n == 0 && !o.write:
+		b.toOrigin(o)
+	case c == nil || float64(c.out) >= c.limit*o.lane:
+		b.giveUp(o)
+	default:
+		b.push(o, c)
+	}
+}
+
+// toOrigin queues an op for the origin, if an answer in time can be hoped for.
+func (b *Balancer) toOrigin(o *op) {
+	if b.origin == nil {
+		b.giveUp(o)
+		return
+	}
+	if !o.write && o.fetch == nil && b.fetches[o.key] == nil {
+		o.fetch = &fetch{leader: o}
+		b.fetches[o.key] = o.fetch
+	}
+	span := float64(b.origin.span.median() * b.Tick)
+	wait := span * float64(len(b.queue)) / b.origin.limit / o.lane
+	if b.host.Now()+Time(wait+span) > o.aim && len(b.queue) > 0 {
+		b.giveUp(o)
+		return
+	}
+	b.hold(o)
+	at := len(b.queue)
+	for at > 0 && b.queue[at-1].lane < o.lane {
+		at--
+	}
+	b.queue = slices.Insert(b.queue, at, o)
+	b.pump()
+}
+
+// pump sends queued ops to the origin as its limit allows.
+func (b *Balancer) pump() {
+	for len(b.queue) > 0 && b.origin != nil && float64(b.origin.out) < b.origin.limit {
+		o := b.queue[0]
+		b.queue = b.queue[1:]
+		if b.allowed(o, b.origin, b.host.Now()) {
+			b.push(o, b.origin)
+		} else {
+			b.giveUp(o)
+		}
+	}
+}
+
+// wait lets an op wait for another one's fetch of the same key.
+func (b *Balancer) wait(o *op, f *fetch) {
+	o.fetch = f
+	f.waiting = append(f.waiting, o)
+	b.hold(o)
+}
+
+func (b *Balancer) hold(o *op) {
+	o.held = true
+	b.host.Timer(tokenOp+uint64(o.id), o.aim-b.host.Now())
+}
+
+func (b *Balancer) push(o *op, c *cache) {
+	now := b.host.Now()
+	o.held = false
+	o.out = append(o.out, push{o.n, c, now})
+	o.n++
+	if c != b.origin {
+		o.tried = append(o.tried, c)
+	}
+	c.out++
+	c.sent[0]++
+	b.host.Push(o.id, c.ID, o.aim)
+}
+
+// PushEnded takes a push's one outcome; terminal says that nothing more is owed for the op.
+func (b *Balancer) PushEnded(id, to uint32, n int, how Outcome, hit, terminal bool, taken Time) {
+	c := b.caches[to]
+	if c == nil {
+		return
+	}
+	c.out = max(c.out-1, 0)
+	b.learn(c, how, taken)
+	if o := b.ops[id]; o != nil {
+		b.settle(o, c, n, how, terminal)
+	}
+	if c == b.origin {
+		b.pump()
+	}
+}
+
+func (b *Balancer) settle(o *op, c *cache, n int, how Outcome, terminal bool) {
+	if i := slices.IndexFunc(o.out, func(p push) bool { return p.n == n }); i >= 0 {
+		if p := o.out[i]; !how.NeverRan() && (o.ran == nil || p.at < o.ran.at) {
+			o.ran = &p
+		}
+		o.out = slices.Delete(o.out, i, i+1)
+	}
+	switch {
+	case terminal || o.done:
+		b.finish(o, how == Acked && c == b.origin)
+	case len(o.out) > 0:
+	case how == Miss && b.Aside && o.n < b.MostPushes:
+		if o.missed == nil {
+			o.missed = c
+		}
+		if f := b.fetches[o.key]; f != nil && f.leader != o && !o.write {
+			b.wait(o, f)
+		} else {
+			b.toOrigin(o)
+		}
+	case b.host.Now() >= o.aim || o.n >= o.most || b.retries < 1 ||
+		o.ran != nil && o.cat.Effect == AtMostOnce:
+		b.giveUp(o)
+	default:
+		b.retries--
+		if c == b.origin {
+			b.toOrigin(o)
+		} else {
+			b.toCache(o)
+		}
+	}
+}
+
+// learn books an outcome to its cache: limit, health, cold budget.
+func (b *Balancer) learn(c *cache, how Outcome, taken Time) {
+	now := b.host.Now()
+	switch how {
+	case Acked, Miss:
+		c.good++
+		c.span.add(bits.Len(uint(taken / b.Tick)))
+		if how == Acked {
+			c.done[0]++
+		}
+		if taken > b.shortest/2 {
+			b.cut(c, now)
+		} else if float64(c.out+1) >= c.limit/2 {
+			c.limit += 1 / c.limit
+		}
+	case Full:
+		b.cut(c, now)
+	case TimedOut, Errored:
+		c.bad++
+		b.cut(c, now)
+		if c != b.origin && c.bad >= 3 && c.bad/(c.good+c.bad) > 2*b.medianBad()+0.25 {
+			c.restUntil, c.bad = now+b.rnd.between(b.shortest, 2*b.shortest), c.bad/2
+		}
+	case ConnectFailed, Broken:
+		b.unreachable(c, now)
+	}
+}
+
+func (b *Balancer) cut(c *cache, now Time) {
+	if now >= c.cutAt+b.shortest/4 {
+		c.limit, c.cutAt = max(c.limit*0.8, 1), now
+	}
+}
+
+func (b *Balancer) unreachable(c *cache, now Time) {
+	c.fails++
+	c.restUntil = now + b.rnd.between(b.shortest, 2*b.shortest)
+	b.cut(c, now)
+}
+
+func (b *Balancer) medianBad() float64 {
+	var shares []float64
+	for _, c := range b.ranks {
+		shares = append(shares, c.bad/max(c.good+c.bad, 1))
+	}
+	slices.Sort(shares)
+	if len(shares) == 0 {
+		return 0
+	}
+	return shares[len(shares)/2]
+}
+
+// ProbeReturned takes the result of a probe of a cache that could not be reached.
+func (b *Balancer) ProbeReturned(id uint32, how Outcome) {
+	c := b.caches[id]
+	if c == nil {
+		return
+	}
+	c.probing = false
+	now := b.host.Now()
+	if how != Acked {
+		c.restUntil = now + b.rnd.between(b.shortest, 2*b.shortest)
+		return
+	}
+	if c.fails > 1 {
+		c.Start = now // it was away: cold, whatever the list still says of its start
+	}
+	c.fails, c.restUntil = 0, 0
+}
+
+// StreamBegan: the push's answer is with the client; its outcome will be terminal.
+func (b *Balancer) StreamBegan(id uint32, n int) {
+	if o := b.ops[id]; o != nil {
+		o.aim, o.end = 1<<62, 1<<62
+	}
+}
+
+// ClientLeft: nothing more is owed.
+func (b *Balancer) ClientLeft(id uint32) {
+	if o := b.ops[id]; o != nil {
+		b.finish(o, false)
+	}
+}
+
+// giveUp answers at once: a nack where a retry is surely safe, else a dead letter.
+func (b *Balancer) giveUp(o *op) {
+	safe := o.cat.Effect == Redeliverable || o.ran == nil && len(o.out) == 0 ||
+		o.cat.Effect == Deduplicated && o.cat.Group == GroupAll
+	if !safe {
+		b.host.DeadLetter(o.id)
+	} else {
+		back := b.rnd.between(o.cat.Target/4, o.cat.Target/2)
+		if b.host.Now()+back >= o.aim {
+			back = b.MaxRetryAfter
+		}
+		b.host.Nack(o.id, min(back, b.MaxRetryAfter))
+	}
+	b.finish(o, false)
+}
+
+// finish ends an op; stored says that its fetch was answered.
+func (b *Balancer) finish(o *op, stored bool) {
+	first := !o.done
+	o.done, o.held = true, false
+	if first && b.Cancelling {
+		for _, p := range o.out {
+			b.host.Cancel(o.id, p.n)
+		}
+	}
+	if len(o.out) == 0 {
+		delete(b.ops, o.id)
+	}
+	b.queue = slices.DeleteFunc(b.queue, func(q *op) bool { return q == o })
+	f := o.fetch
+	if f == nil {
+		return
+	}
+	o.fetch = nil
+	if f.leader != o {
+		f.waiting = slices.DeleteFunc(f.waiting, func(q *op) bool { return q == o })
+		return
+	}
+	waiting := f.waiting
+	f.waiting = nil
+	if !stored {
+		// The way out when a fetch fails: the first that waits fetches in its place.
+		if len(waiting) > 0 {
+			f.leader, f.waiting = waiting[0], waiting[1:]
+			b.toOrigin(f.leader)
+		} else {
+			delete(b.fetches, o.key)
+		}
+		return
+	}
+	delete(b.fetches, o.key)
+	for _, w := range waiting {
+		w.fetch = nil
+		if o.missed != nil && b.host.Now() < w.aim && !slices.Contains(w.tried, o.missed) &&
+			b.allowed(w, o.missed, b.host.Now()) {
+			b.push(w, o.missed)
+		} else {
+			w.tried = nil
+			b.toCache(w)
+		}
+	}
+}
+
+// TimerDue takes back a token; timers can't be unset, so a stale one does nothing.
+func (b *Balancer) TimerDue(token uint64) {
+	switch token {
+	case tokenTick:
+		b.tick()
+	case tokenWatch:
+		b.host.Watch(true)
+	default:
+		if o := b.ops[uint32(token-tokenOp)]; o != nil && o.held && b.host.Now() >= o.aim {
+			b.giveUp(o)
+		}
+	}
+}
+
+func (b *Balancer) tick() {
+	now := b.host.Now()
+	b.host.Timer(tokenTick, 4*b.Tick)
+	for i := range b.tenants {
+		t := &b.tenants[i]
+		t.tokens = min(t.tokens+t.rate*float64(now-b.ticked)/10000, 2*t.rate)
+	}
+	b.ticked = now
+	roll := now >= b.rolled+b.TipAfter/(quarters-1)
+	if roll {
+		b.rolled = now
+	}
+	for _, c := range b.ranks {
+		if c.fails > 0 && now >= c.restUntil && !c.probing && b.Probing {
+			c.probing = true
+			b.host.Probe(c.ID)
+		}
+		if roll {
+			b.roll(c)
+		}
+	}
+	if roll && b.origin != nil {
+		b.roll(b.origin)
+	}
+	b.pump()
+}
+
+func (b *Balancer) roll(c *cache) {
+	copy(c.sent[1:], c.sent[:quarters-1])
+	copy(c.done[1:], c.done[:quarters-1])
+	c.sent[0], c.done[0] = 0, 0
+	c.good, c.bad = c.good*0.8, c.bad*0.8
+	if c.span.halve(); c.limit < 1 {
+		c.limit = 1
+	}
+}
--- /dev/null
+++ b/policy/types.go
@@ -0,0 +1,111 @@
+package policy
+
+// Time is a clock reading or a span in whole tenths of a millisecond.
+type Time int64
+
+type Effect uint8
+
+const (
+	Redeliverable Effect = iota // may run again
+	Deduplicated                // repeats are dropped by its group, for its window
+	AtMostOnce                  // must never run twice
+)
+
+type Group uint8
+
+const (
+	GroupAll Group = iota
+	GroupZone
+	GroupCell
+)
+
+type Outcome uint8
+
+const (
+	Acked Outcome = iota
+	Errored
+	Full // turned away unseen
+	TimedOut
+	ConnectFailed
+	Broken
+	Cancelled
+	Moot // never sent
+	Miss // nothing is stored there under the key
+)
+
+// NeverRan tells whether the outcome proves that the push had no effect.
+func (o Outcome) NeverRan() bool {
+	return o == Full || o == ConnectFailed || o == Moot || o == Miss
+}
+
+type ListKind uint8
+
+const (
+	ListFull ListKind = iota
+	ListDelta
+	ListCached
+	ListFailed
+)
+
+type State uint8
+
+const (
+	Ready State = iota
+	Draining
+	Gone
+)
+
+// Entry is one line of the cache list.
+type Entry struct {
+	ID         uint32
+	Zone, Kind int
+	Cell       int
+	State      State
+	Weight     float64
+	Start      Time // 0: long ago
+}
+
+type Category struct {
+	Effect      Effect
+	Group       Group
+	Window      Time
+	Target, TTL Time
+	Benefit     float64
+	Tardy       float64 // share of the benefit that a late answer keeps
+}
+
+// Settings holds what the module reads of a deployment's figures.
+type Settings struct {
+	Categories    []Category
+	Quotas        []float64 // ops a second inside each tenant's share, over all proxies
+	BeyondBenefit float64   // share of its benefit that an op beyond its tenant's share keeps
+	Proxies       int
+	Zone          int
+	AskList       bool
+	AskEvery      Time
+	Aside         bool
+	OriginKind    int // -1: none is listed
+	ColdFrom      float64
+	WarmUp        Time
+	FallMultiple  float64
+	TipAfter      Time
+	Tick          Time
+	MaxRetryAfter Time // 0: clients take no advice
+	MostPushes    int
+	Duplicates    bool
+	Cancelling    bool
+	Probing       bool
+}
+
+// Host is how the module acts. Calls take effect in the order made.
+type Host interface {
+	Now() Time
+	Push(op, cache uint32, until Time)
+	Cancel(op uint32, push int)
+	Nack(op uint32, comeBack Time)
+	DeadLetter(op uint32)
+	Timer(token uint64, after Time)
+	Probe(cache uint32)
+	Watch(on bool)
+	Log(text string)
+}
