--- a/policy/policy.go
+++ b/policy/policy.go
@@ -141,6 +141,25 @@
 	waiting []*op
 }
 
+// tryLength is how long a client waits for a first try, found by majority vote: first tries are the most.
+// Later tries may be longer or shorter, and must not be taken for the measure.
+type tryLength struct {
+	span  Time
+	votes int
+}
+
+func (t *tryLength) usual(left, near Time) bool {
+	if left >= t.span-near && left <= t.span+near {
+		t.votes = min(t.votes+1, 64)
+		return true
+	}
+	if t.votes--; t.votes < 0 {
+		*t = tryLength{left, 1}
+		return true
+	}
+	return false
+}
+
 type tenant struct{ tokens, rate float64 }
 
 type Balancer struct {
@@ -155,7 +174,7 @@
 	fetches  map[uint64]*fetch
 	queue    []*op // for the origin
 	tenants  []tenant
-	longest  []Time // by category: a client's first try
+	tries    []tryLength // by category
 	benefit  float64
 	shortest Time // target latency
 	retries  float64
@@ -167,7 +186,7 @@
 // New starts a proxy; a list of kind ListCached is expected next.
 func New(s Settings, seed uint64, h Host) *Balancer {
 	b := &Balancer{Settings: s, host: h, rnd: pcg{seed}, caches: map[uint32]*cache{}, ops: map[uint32]*op{},
-		fetches: map[uint64]*fetch{}, longest: make([]Time, len(s.Categories)), shortest: s.Categories[0].Target}
+		fetches: map[uint64]*fetch{}, tries: make([]tryLength, len(s.Categories)), shortest: s.Categories[0].Target}
 	for _, c := range s.Categories {
 		b.benefit = max(b.benefit, c.Benefit)
 		b.shortest = min(b.shortest, c.Target)
@@ -233,12 +252,9 @@
 	cat := &b.Categories[min(category, len(b.Categories)-1)]
 	o := &op{id: id, key: key, cat: cat, write: write, lane: 1, end: now + left - b.Tick}
 	b.ops[id] = o
-	// A try that is shorter than a first one tells how much of the TTL is spent.
-	longest := &b.longest[min(category, len(b.Categories)-1)]
-	*longest = max(*longest, left)
 	spent := Time(0)
-	if left < *longest-*longest/50 {
-		spent = max(cat.TTL-left, 0)
+	if !b.tries[min(category, len(b.Categories)-1)].usual(left, cat.TTL/64) {
+		spent = max(cat.TTL-left, 0) // a last try, with all that is left of the TTL
 	}
 	o.aim = min(now+cat.Target-spent-2*b.Tick, o.end)
 	if cat.Tardy > 0 || cat.Effect != Redeliverable {
