Steady ranks by seats: many more buckets than caches, chosen by hashed id in rank order

Cause: with plain ranks a leaving or restarting cache shifts every later rank and most keys miss at once.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,6 +20,7 @@
 
 const (
 	slack      = 4   // s0 of the design
+	spareSeats = 64  // seats to s0, at the least: a fleet may triple before seats double
 	candidates = 3   // caches that a key may go to on the ordinary path
 	quarters   = 5   // four quarters of the cold window, and the one begun
 	coldMargin = 0.6 // of the cold budget, left for chance and for works of unlike size
@@ -167,7 +168,8 @@
 	host     Host
 	rnd      pcg
 	caches   map[uint32]*cache
-	ranks    []*cache
+	ranks    []*cache // listed, by start time, then id
+	seats    []*cache // by bucket; nil: free
 	circle   circle
 	origin   *cache
 	ops      map[uint32]*op
@@ -242,10 +244,29 @@
 	slices.SortFunc(b.ranks, func(x, y *cache) int {
 		return cmp.Or(cmp.Compare(x.Start, y.Start), cmp.Compare(x.ID, y.ID))
 	})
-	b.circle = newCircle(len(b.ranks))
+	b.seat()
 	b.pump()
 }
 
+// seat gives each ranked cache a bucket. Plain ranks shift whenever a cache leaves or restarts, and most keys
+// with them. So ranks only decide who chooses first among many more seats than caches, each taking the first
+// free one of those that its id hashes to: all proxies agree from the list alone, a restart gets its seat back.
+func (b *Balancer) seat() {
+	m := max(len(b.seats), slack*spareSeats)
+	for m < 4*len(b.ranks) {
+		m *= 2
+	}
+	b.circle, b.seats = newCircle(m), make([]*cache, m)
+	for _, c := range b.ranks {
+		for salt := uint64(0); ; salt++ {
+			if at := mix(uint64(c.ID), salt) % uint64(m); b.seats[at] == nil {
+				b.seats[at] = c
+				break
+			}
+		}
+	}
+}
+
 // OpArrived takes an op; left is how long the client waits for this try.
 func (b *Balancer) OpArrived(id uint32, key uint64, category, account int, write bool, left Time) {
 	now := b.host.Now()
@@ -335,13 +356,13 @@
 
 // home is the cache that a key and a salt map to; a missing rank is rehashed.
 func (b *Balancer) home(key, salt uint64) *cache {
-	for try := uint64(0); try < 64; try++ {
-		arc, _ := bits.Mul64(mix(key, salt<<8|try), uint64(b.circle.m))
-		if r := b.circle.bucket(int(arc)); r < len(b.ranks) {
-			return b.ranks[r]
+	for try := uint64(0); try < uint64(4*b.circle.m); try++ {
+		arc, _ := bits.Mul64(mix(key, salt<<32|try), uint64(b.circle.m))
+		if c := b.seats[b.circle.bucket(int(arc))]; c != nil {
+			return c
 		}
 	}
-	return b.ranks[0]
+	return b.ranks[salt%uint64(len(b.ranks))]
 }
 
 // route picks a cache as the design page says.
