Weigh the mapping and the twice-mean pass by listed weight

Cause: equal key shares overload small machines; a key's hash now passes over a cache with probability one less its weight over the heaviest, and the pass compares in-flight counts to the mean in proportion. All proxies agree.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -171,6 +171,7 @@
 	ranks    []*cache // listed, by start time, then id
 	seats    []*cache // by bucket; nil: free
 	circle   circle
+	heaviest float64
 	origin   *cache
 	ops      map[uint32]*op
 	fetches  map[uint64]*fetch
@@ -229,6 +230,9 @@
 			c.restUntil, c.fails = 0, 0 // a new process: old failures say nothing of it
 		}
 		e.Start = max(e.Start, c.Start)
+		if !(e.Weight > 0) {
+			e.Weight = 1
+		}
 		c.Entry, c.listed = e, e.State != Gone
 	}
 	b.ranks, b.origin = b.ranks[:0], nil
@@ -257,7 +261,9 @@
 		m *= 2
 	}
 	b.circle, b.seats = newCircle(m), make([]*cache, m)
+	b.heaviest = 0
 	for _, c := range b.ranks {
+		b.heaviest = max(b.heaviest, c.Weight)
 		for salt := uint64(0); ; salt++ {
 			if at := mix(uint64(c.ID), salt) % uint64(m); b.seats[at] == nil {
 				b.seats[at] = c
@@ -358,7 +364,9 @@
 func (b *Balancer) home(key, salt uint64) *cache {
 	for try := uint64(0); try < uint64(4*b.circle.m); try++ {
 		arc, _ := bits.Mul64(mix(key, salt<<32|try), uint64(b.circle.m))
-		if c := b.seats[b.circle.bucket(int(arc))]; c != nil {
+		c := b.seats[b.circle.bucket(int(arc))]
+		// A small cache is passed over in proportion, by the key's hash, alike at every proxy.
+		if c != nil && float64(mix(key, ^(salt<<32|try))>>32) < c.Weight/b.heaviest*(1<<32) {
 			return c
 		}
 	}
@@ -367,11 +375,11 @@
 
 // route picks a cache as the design page says.
 func (b *Balancer) route(o *op) *cache {
-	now, total := b.host.Now(), 0
+	now, total, weight := b.host.Now(), 0, 0.0
 	for _, c := range b.ranks {
 		total += c.out
+		weight += c.Weight
 	}
-	mean := float64(total) / float64(max(len(b.ranks), 1))
 	var seen []*cache
 	var least *cache
 	for salt := uint64(0); len(seen) < min(candidates, len(b.ranks)) && salt < 8*candidates; salt++ {
@@ -383,6 +391,7 @@
 		if !b.allowed(o, c, now) {
 			continue
 		}
+		mean := float64(total) * c.Weight / weight // in proportion to its size
 		if float64(c.out) <= max(2*mean, mean+2) {
 			return c
 		}
