--- a/policy/policy.go
+++ b/policy/policy.go
@@ -107,6 +107,7 @@
 	good, bad  float64       // answers and failures, halved
 	limit      float64       // in flight, learned
 	cutAt      Time          // the limit last fell
+	sentAt     Time          // the last push
 	fails      int           // connections failed in a row
 	restUntil  Time          // not ready before
 	probing    bool
@@ -254,7 +255,7 @@
 
 // seat gives each ranked cache a bucket. Plain ranks shift whenever a cache leaves or restarts, and most keys
 // with them. So ranks only decide who chooses first among many more seats than caches, each taking the first
-// free one of those that its id hashes to: all proxies agree from the list alone, a restart gets its seat back.
+// free one that its id hashes to: all proxies agree from the list alone, and a restart gets its seat back.
 func (b *Balancer) seat() {
 	m := max(len(b.seats), slack*spareSeats)
 	for m < 4*len(b.ranks) {
@@ -414,13 +415,20 @@
 	switch {
 	case c == nil && b.Aside && o.n == 0 && !o.write:
 		b.toOrigin(o)
-	case c == nil || float64(c.out) >= c.limit*o.lane:
+	case c == nil || !b.room(c, o.lane):
 		b.giveUp(o)
 	default:
 		b.push(o, c)
 	}
 }
 
+// room tells whether a cache's learned limit lets one more push in. Where even one push from every proxy is
+// too much, a limit under one paces: caches that go on with work that nobody waits for would stay jammed.
+func (b *Balancer) room(c *cache, lane float64) bool {
+	limit, idle := c.limit*lane, float64(b.host.Now()-c.sentAt)
+	return float64(c.out) < limit && (limit >= 1 || idle > float64(b.shortest)/4*(1/limit-1))
+}
+
 // toOrigin queues an op for the origin, if an answer in time can be hoped for.
 func (b *Balancer) toOrigin(o *op) {
 	if b.origin == nil {
@@ -448,7 +456,7 @@
 
 // pump sends queued ops to the origin as its limit allows.
 func (b *Balancer) pump() {
-	for len(b.queue) > 0 && b.origin != nil && float64(b.origin.out) < b.origin.limit {
+	for len(b.queue) > 0 && b.origin != nil && b.room(b.origin, 1) {
 		o := b.queue[0]
 		b.queue = b.queue[1:]
 		if b.allowed(o, b.origin, b.host.Now()) {
@@ -481,6 +489,7 @@
 	}
 	c.out++
 	c.sent[0]++
+	c.sentAt = now
 	b.host.Push(o.id, c.ID, o.aim)
 }
 
@@ -491,8 +500,12 @@
 		return
 	}
 	c.out = max(c.out-1, 0)
-	b.learn(c, how, taken)
-	if o := b.ops[id]; o != nil {
+	o, inTime := b.ops[id], b.shortest/2
+	if o != nil {
+		inTime = o.cat.Target / 2
+	}
+	b.learn(c, how, taken, inTime)
+	if o != nil {
 		b.settle(o, c, n, how, terminal)
 	}
 	if c == b.origin {
@@ -534,7 +547,7 @@
 }
 
 // learn books an outcome to its cache: limit, health, cold budget.
-func (b *Balancer) learn(c *cache, how Outcome, taken Time) {
+func (b *Balancer) learn(c *cache, how Outcome, taken, inTime Time) {
 	now := b.host.Now()
 	switch how {
 	case Acked, Miss:
@@ -543,16 +556,16 @@
 		if how == Acked {
 			c.done[0]++
 		}
-		if taken > b.shortest/2 {
-			b.cut(c, now)
+		if taken > inTime {
+			b.cut(c, now, 0.9)
 		} else if float64(c.out+1) >= c.limit/2 {
-			c.limit += 1 / c.limit
+			c.limit += min(1/c.limit, c.limit/4)
 		}
 	case Full:
-		b.cut(c, now)
+		b.cut(c, now, 0.8)
 	case TimedOut, Errored:
 		c.bad++
-		b.cut(c, now)
+		b.cut(c, now, 0.7)
 		if c != b.origin && c.bad >= 3 && c.bad/(c.good+c.bad) > 2*b.medianBad()+0.25 {
 			c.restUntil, c.bad = now+b.rnd.between(b.shortest, 2*b.shortest), c.bad/2
 		}
@@ -561,16 +574,20 @@
 	}
 }
 
-func (b *Balancer) cut(c *cache, now Time) {
+func (b *Balancer) cut(c *cache, now Time, by float64) {
 	if now >= c.cutAt+b.shortest/4 {
-		c.limit, c.cutAt = max(c.limit*0.8, 1), now
+		floor := 1.0 / 16
+		if c == b.origin {
+			floor = 1
+		}
+		c.limit, c.cutAt = max(c.limit*by, floor), now
 	}
 }
 
 func (b *Balancer) unreachable(c *cache, now Time) {
 	c.fails++
 	c.restUntil = now + b.rnd.between(b.shortest, 2*b.shortest)
-	b.cut(c, now)
+	b.cut(c, now, 0.7)
 }
 
 func (b *Balancer) medianBad() float64 {
@@ -726,7 +743,5 @@
 	copy(c.done[1:], c.done[:quarters-1])
 	c.sent[0], c.done[0] = 0, 0
 	c.good, c.bad = c.good*0.8, c.bad*0.8
-	if c.span.halve(); c.limit < 1 {
-		c.limit = 1
-	}
+	c.span.halve()
 }
