--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -216,7 +216,7 @@
 			return fmt.Errorf("unknown outcome %d", reason)
 		}
 		if in.proxy != nil {
-			in.proxy.PushEnded(tid, node, int(n), outcome, note == 1, terminal != 0, down(uint64(taken)))
+			in.proxy.PushEnded(tid, node, int(n), outcome, note >= 2, terminal != 0, down(uint64(taken)))
 		}
 	default:
 		return fmt.Errorf("unknown code %d", code)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -493,8 +493,9 @@
 	b.host.Push(o.id, c.ID, o.aim)
 }
 
-// PushEnded takes a push's one outcome; terminal says that nothing more is owed for the op.
-func (b *Balancer) PushEnded(id, to uint32, n int, how Outcome, hit, terminal bool, taken Time) {
+// PushEnded takes a push's one outcome: missed says that the cache had to fetch, terminal that nothing more is
+// owed for the op.
+func (b *Balancer) PushEnded(id, to uint32, n int, how Outcome, missed, terminal bool, taken Time) {
 	c := b.caches[to]
 	if c == nil {
 		return
@@ -504,16 +505,20 @@
 	if o != nil {
 		inTime = o.cat.Target / 2
 	}
-	b.learn(c, how, taken, inTime)
+	// A cache whose fetch failed is not sick: the origin is, and another push would only fetch once more.
+	fetchFailed := how == Errored && missed
+	if !fetchFailed {
+		b.learn(c, how, taken, inTime)
+	}
 	if o != nil {
-		b.settle(o, c, n, how, terminal)
+		b.settle(o, c, n, how, terminal, fetchFailed)
 	}
 	if c == b.origin {
 		b.pump()
 	}
 }
 
-func (b *Balancer) settle(o *op, c *cache, n int, how Outcome, terminal bool) {
+func (b *Balancer) settle(o *op, c *cache, n int, how Outcome, terminal, fetchFailed bool) {
 	if i := slices.IndexFunc(o.out, func(p push) bool { return p.n == n }); i >= 0 {
 		if p := o.out[i]; !how.NeverRan() && (o.ran == nil || p.at < o.ran.at) {
 			o.ran = &p
@@ -533,7 +538,7 @@
 		} else {
 			b.toOrigin(o)
 		}
-	case b.host.Now() >= o.aim || o.n >= o.most || b.retries < 1 ||
+	case fetchFailed || b.host.Now() >= o.aim || o.n >= o.most || b.retries < 1 ||
 		o.ran != nil && o.cat.Effect == AtMostOnce:
 		b.giveUp(o)
 	default:
