A suspected cache rests longer each time and is tried by one push

Told from a dead zone by the other caches there answering, from overload by the fleet's median of failures.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -110,6 +110,7 @@
 	sentAt     Time          // the last push
 	fails      int           // connections failed in a row
 	restUntil  Time          // not ready before
+	rest       Time          // the last rest; 0 once it has answered
 	probing    bool
 	span       hist // answer times
 }
@@ -228,7 +229,7 @@
 			b.caches[e.ID] = c
 		}
 		if e.Start > c.Start {
-			c.restUntil, c.fails = 0, 0 // a new process: old failures say nothing of it
+			c.restUntil, c.rest, c.fails, c.bad = 0, 0, 0, 0 // a new process: old failures say nothing of it
 		}
 		e.Start = max(e.Start, c.Start)
 		if !(e.Weight > 0) {
@@ -347,7 +348,7 @@
 	if !c.listed || c.State != Ready || slices.Contains(o.tried, c) {
 		return false
 	}
-	if c != b.origin && (now < c.restUntil || c.fails > 0 && b.Probing || !b.coldRoom(c, now)) {
+	if c != b.origin && (now < c.restUntil || c.rest > 0 && c.out > 0 || c.fails > 0 && b.Probing || !b.coldRoom(c, now)) {
 		return false
 	}
 	if o.ran == nil || o.cat.Effect == Redeliverable {
@@ -557,6 +558,7 @@
 	switch how {
 	case Acked, Miss:
 		c.good++
+		c.rest = 0
 		c.span.add(bits.Len(uint(taken / b.Tick)))
 		if how == Acked {
 			c.done[0]++
@@ -572,10 +574,12 @@
 		c.bad++
 		b.cut(c, now, 0.7)
 		if c != b.origin && c.bad >= 3 && c.bad/(c.good+c.bad) > 2*b.medianBad()+0.25 {
-			c.restUntil, c.bad = now+b.rnd.between(b.shortest, 2*b.shortest), c.bad/2
+			b.suspend(c, now)
 		}
 	case ConnectFailed, Broken:
-		b.unreachable(c, now)
+		c.fails++
+		b.cut(c, now, 0.7)
+		b.suspend(c, now)
 	}
 }
 
@@ -589,10 +593,13 @@
 	}
 }
 
-func (b *Balancer) unreachable(c *cache, now Time) {
-	c.fails++
-	c.restUntil = now + b.rnd.between(b.shortest, 2*b.shortest)
-	b.cut(c, now, 0.7)
+// suspend rests a cache, longer each time; after it one push at a time is its trial. A short rest with a full
+// return would feed a cache that stands still a steady share of ops.
+func (b *Balancer) suspend(c *cache, now Time) {
+	if now >= c.restUntil {
+		c.rest = min(max(2*c.rest, b.shortest), 16*b.shortest)
+		c.restUntil = now + b.rnd.between(c.rest/2, c.rest)
+	}
 }
 
 func (b *Balancer) medianBad() float64 {
@@ -616,13 +623,13 @@
 	c.probing = false
 	now := b.host.Now()
 	if how != Acked {
-		c.restUntil = now + b.rnd.between(b.shortest, 2*b.shortest)
+		b.suspend(c, now)
 		return
 	}
 	if c.fails > 1 {
 		c.Start = now // it was away: cold, whatever the list still says of its start
 	}
-	c.fails, c.restUntil = 0, 0
+	c.fails, c.rest, c.restUntil = 0, 0, 0
 }
 
 // StreamBegan: the push's answer is with the client; its outcome will be terminal.
