--- a/policy/policy.go
+++ b/policy/policy.go
@@ -295,7 +295,7 @@
 		if t := &b.tenants[account]; t.tokens >= 1 {
 			t.tokens--
 		} else {
-			o.lane -= 0.4 * (1 - b.BeyondBenefit)
+			o.lane *= 0.25 + 0.75*b.BeyondBenefit
 		}
 	}
 	if key == 0 {
