--- a/policy/policy.go
+++ b/policy/policy.go
@@ -589,7 +589,7 @@
 		if c == b.origin {
 			floor = 1
 		}
-		c.limit, c.cutAt = max(c.limit*by, floor), now
+		c.limit, c.cutAt = max(min(c.limit, float64(c.out+1))*by, floor), now
 	}
 }
 
