--- a/policy/policy.go
+++ b/policy/policy.go
@@ -589,7 +589,11 @@
 		if c == b.origin {
 			floor = 1
 		}
-		c.limit, c.cutAt = max(min(c.limit, float64(c.out+1))*by, floor), now
+		limit := c.limit
+		if by < 0.9 { // a failure, not one slow answer: start from what is in use
+			limit = min(limit, float64(c.out+1))
+		}
+		c.limit, c.cutAt = max(limit*by, floor), now
 	}
 }
 
