--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,7 +24,7 @@
 	candidates = 3   // caches that a key may go to on the ordinary path
 	quarters   = 5   // four quarters of the cold window, and the one begun
 	coldMargin = 0.6 // of the cold budget, left for chance and for works of unlike size
-	firstLimit = 16  // in flight, before anything is learned
+	firstLimit = 6   // in flight, before anything is learned
 	retryShare = 0.2 // further pushes to first pushes
 	tokenTick  = 0
 	tokenWatch = 1
