--- a/policy/policy.go
+++ b/policy/policy.go
@@ -565,7 +565,7 @@
 		}
 		if taken > inTime {
 			b.cut(c, now, 0.9)
-		} else if float64(c.out+1) >= c.limit/2 {
+		} else if float64(c.out+1) >= c.limit/2 && taken < inTime/2 {
 			c.limit += min(1/c.limit, c.limit/4)
 		}
 	case Full:
