--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -138,13 +138,13 @@
 			return cut()
 		}
 	case 2:
-		tid, n := r.u32(), r.u8()
-		r.take(8)
+		tid := r.u32()
+		r.take(9)
 		if r.short {
 			return cut()
 		}
 		if in.proxy != nil {
-			in.proxy.StreamBegan(tid, int(n))
+			in.proxy.StreamBegan(tid)
 		}
 	case 3:
 		token := r.u64()
@@ -205,7 +205,9 @@
 			in.proxy.ClientLeft(tid)
 		}
 	case 10:
-		tid, node, note, reason, terminal, n := r.u32(), r.u32(), r.u32(), r.u8(), r.u8(), r.u8()
+		tid := r.u32()
+		r.u32() // the module knows where each push went
+		note, reason, terminal, n := r.u32(), r.u8(), r.u8(), r.u8()
 		taken := r.u32()
 		r.skipReport()
 		outcome, ok := outcomes[reason]
@@ -216,7 +218,7 @@
 			return fmt.Errorf("unknown outcome %d", reason)
 		}
 		if in.proxy != nil {
-			in.proxy.PushEnded(tid, node, int(n), outcome, note >= 2, terminal != 0, down(uint64(taken)))
+			in.proxy.PushEnded(tid, int(n), outcome, note >= 2, terminal != 0, down(uint64(taken)))
 		}
 	default:
 		return fmt.Errorf("unknown code %d", code)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -101,42 +101,40 @@
 
 type cache struct {
 	Entry
-	listed     bool
-	out        int           // own pushes in flight
-	sent, done [quarters]int // pushes, and those acked, by quarter
-	good, bad  float64       // answers and failures, halved
-	limit      float64       // in flight, learned
-	cutAt      Time          // the limit last fell
-	sentAt     Time          // the last push
-	fails      int           // connections failed in a row
-	restUntil  Time          // not ready before
-	rest       Time          // the last rest; 0 once it has answered
-	probing    bool
-	span       hist // answer times
+	listed, shared  bool          // shared: the origin or its shadow
+	out             int           // own pushes in flight
+	sent, done      [quarters]int // pushes, and those acked, by quarter
+	good, bad       float64       // answers and failures, fading
+	limit           float64       // in flight, learned
+	cutAt, sentAt   Time          // the limit last fell; the last push
+	fails           int           // connections failed in a row
+	back            Time          // it answered again after such
+	rest, restUntil Time          // the last rest, 0 once it has answered; not ready before
+	span            hist          // answer times
 }
 
 type op struct {
-	id       uint32
-	key      uint64
-	cat      *Category
-	write    bool
-	lane     float64 // share of a limit that it may fill
-	aim, end Time    // the last moment at which an answer has its full benefit, and any
-	most     int     // pushes
-	n        int     // pushes made
-	out      []push
-	tried    []*cache
-	missed   *cache
-	ran      *push // the first push that may have run
-	fetch    *fetch
-	held     bool // nothing is out: it waits for the origin or for a fetch
-	done     bool
+	id     uint32
+	key    uint64
+	cat    *Category
+	write  bool
+	lane   float64 // share of a limit that it may fill
+	aim    Time    // the last moment at which an answer has its full benefit
+	most   int     // pushes it may have
+	n      int     // pushes made
+	out    []push
+	tried  []*cache
+	missed *cache
+	ran    *push // the first push that may have run
+	fetch  *fetch
+	done   bool
 }
 
 type push struct {
-	n  int
-	to *cache
-	at Time
+	n       int
+	to      *cache
+	at      Time
+	fetches bool // its key is not known to be kept
 }
 
 type fetch struct {
@@ -175,16 +173,18 @@
 	circle   circle
 	heaviest float64
 	origin   *cache
+	shadow   *cache             // the origin where caches fetch for themselves: pushes that may fetch
+	kept     [2]map[uint64]bool // keys answered lately, so likely kept
 	ops      map[uint32]*op
 	fetches  map[uint64]*fetch
 	queue    []*op // for the origin
 	tenants  []tenant
 	tries    []tryLength // by category
-	benefit  float64
-	shortest Time // target latency
+	benefit  float64     // the highest
+	shortest Time        // target latency
 	retries  float64
-	ticked   Time
 	rolled   Time
+	turn     int
 	watchGap Time
 }
 
@@ -197,10 +197,13 @@
 		b.shortest = min(b.shortest, c.Target)
 	}
 	for _, quota := range s.Quotas {
-		rate := quota / float64(s.Proxies)
-		b.tenants = append(b.tenants, tenant{tokens: rate, rate: rate})
+		b.tenants = append(b.tenants, tenant{rate: quota / float64(s.Proxies)})
 	}
-	b.ticked, b.rolled = h.Now(), h.Now()
+	if !s.Aside {
+		b.shadow = &cache{limit: 4 * firstLimit, shared: true}
+		b.kept = [2]map[uint64]bool{{}, {}}
+	}
+	b.rolled = h.Now()
 	h.Timer(tokenTick, 4*s.Tick)
 	if s.AskList {
 		h.Watch(true)
@@ -241,7 +244,7 @@
 	for _, c := range b.caches {
 		if c.listed && c.Kind == b.OriginKind {
 			if b.origin == nil || c.ID < b.origin.ID { // the lowest id, whatever the map's order
-				b.origin = c
+				b.origin, c.shared = c, true
 			}
 		} else if c.listed {
 			b.ranks = append(b.ranks, c)
@@ -279,15 +282,14 @@
 func (b *Balancer) OpArrived(id uint32, key uint64, category, account int, write bool, left Time) {
 	now := b.host.Now()
 	cat := &b.Categories[min(category, len(b.Categories)-1)]
-	o := &op{id: id, key: key, cat: cat, write: write, lane: 1, end: now + left - b.Tick}
+	o := &op{id: id, key: key, cat: cat, write: write, lane: 1, aim: now + left - b.Tick}
 	b.ops[id] = o
 	spent := Time(0)
 	if !b.tries[min(category, len(b.Categories)-1)].usual(left, cat.TTL/64) {
 		spent = max(cat.TTL-left, 0) // a last try, with all that is left of the TTL
 	}
-	o.aim = min(now+cat.Target-spent-2*b.Tick, o.end)
-	if cat.Tardy > 0 || cat.Effect != Redeliverable {
-		o.aim = o.end
+	if cat.Tardy == 0 && cat.Effect == Redeliverable {
+		o.aim = min(now+cat.Target-spent-2*b.Tick, o.aim)
 	}
 	o.most = min(2+int(cat.Benefit/b.benefit+0.5), b.MostPushes)
 	o.lane -= 0.2 * (1 - cat.Benefit/b.benefit)
@@ -315,11 +317,11 @@
 
 // share is the part of its capacity that a cache has surely reached.
 func (b *Balancer) share(c *cache, now Time) float64 {
-	age := now - c.Start
-	if c.Start == 0 || age >= b.WarmUp {
+	start := max(c.Start, c.back)
+	if start == 0 || now-start >= b.WarmUp {
 		return 1
 	}
-	return b.ColdFrom + (1-b.ColdFrom)*float64(max(age, 0))/float64(b.WarmUp)
+	return b.ColdFrom + (1-b.ColdFrom)*float64(max(now-start, 0))/float64(b.WarmUp)
 }
 
 // coldRoom keeps a young cache from being pushed over by all proxies together: what each may send it is a
@@ -348,7 +350,8 @@
 	if !c.listed || c.State != Ready || slices.Contains(o.tried, c) {
 		return false
 	}
-	if c != b.origin && (now < c.restUntil || c.rest > 0 && c.out > 0 || c.fails > 0 && b.Probing || !b.coldRoom(c, now)) {
+	resting := now < c.restUntil || c.rest > 0 && c.out > 0 || c.fails > 0 && b.Probing
+	if c != b.origin && (resting || !b.coldRoom(c, now)) {
 		return false
 	}
 	if o.ran == nil || o.cat.Effect == Redeliverable {
@@ -383,7 +386,7 @@
 		weight += c.Weight
 	}
 	var seen []*cache
-	var least *cache
+	var least *cache // of those passed over
 	for salt := uint64(0); len(seen) < min(candidates, len(b.ranks)) && salt < 8*candidates; salt++ {
 		c := b.home(o.key, salt)
 		if slices.Contains(seen, c) {
@@ -416,7 +419,7 @@
 	switch {
 	case c == nil && b.Aside && o.n == 0 && !o.write:
 		b.toOrigin(o)
-	case c == nil || !b.room(c, o.lane):
+	case c == nil || !b.room(c, o.lane), b.mayFetch(o) && !b.room(b.shadow, o.lane):
 		b.giveUp(o)
 	default:
 		b.push(o, c)
@@ -430,6 +433,12 @@
 	return float64(c.out) < limit && (limit >= 1 || idle > float64(b.shortest)/4*(1/limit-1))
 }
 
+// mayFetch tells whether a cache may have to ask the origin for this op. A slow origin, or voided copies,
+// then hold up only as many ops as it answers, not those whose keys are kept.
+func (b *Balancer) mayFetch(o *op) bool {
+	return b.shadow != nil && (o.write || !b.kept[0][o.key] && !b.kept[1][o.key])
+}
+
 // toOrigin queues an op for the origin, if an answer in time can be hoped for.
 func (b *Balancer) toOrigin(o *op) {
 	if b.origin == nil {
@@ -475,15 +484,17 @@
 	b.hold(o)
 }
 
+// hold keeps an op with nothing out until its target latency, at most.
 func (b *Balancer) hold(o *op) {
-	o.held = true
 	b.host.Timer(tokenOp+uint64(o.id), o.aim-b.host.Now())
 }
 
 func (b *Balancer) push(o *op, c *cache) {
 	now := b.host.Now()
-	o.held = false
-	o.out = append(o.out, push{o.n, c, now})
+	o.out = append(o.out, push{o.n, c, now, b.mayFetch(o)})
+	if b.mayFetch(o) {
+		b.shadow.out++
+	}
 	o.n++
 	if c != b.origin {
 		o.tried = append(o.tried, c)
@@ -494,38 +505,38 @@
 	b.host.Push(o.id, c.ID, o.aim)
 }
 
-// PushEnded takes a push's one outcome: missed says that the cache had to fetch, terminal that nothing more is
-// owed for the op.
-func (b *Balancer) PushEnded(id, to uint32, n int, how Outcome, missed, terminal bool, taken Time) {
-	c := b.caches[to]
-	if c == nil {
+// PushEnded takes a push's one outcome: missed says that the cache had to fetch, terminal that nothing more
+// is owed for the op.
+func (b *Balancer) PushEnded(id uint32, n int, how Outcome, missed, terminal bool, taken Time) {
+	o := b.ops[id]
+	if o == nil {
 		return
 	}
-	c.out = max(c.out-1, 0)
-	o, inTime := b.ops[id], b.shortest/2
-	if o != nil {
-		inTime = o.cat.Target / 2
-	}
-	// A cache whose fetch failed is not sick: the origin is, and another push would only fetch once more.
-	fetchFailed := how == Errored && missed
-	if !fetchFailed {
-		b.learn(c, how, taken, inTime)
+	i := slices.IndexFunc(o.out, func(p push) bool { return p.n == n })
+	if i < 0 {
+		return
 	}
-	if o != nil {
-		b.settle(o, c, n, how, terminal, fetchFailed)
+	p := o.out[i]
+	c, judged := p.to, p.to
+	o.out = slices.Delete(o.out, i, i+1)
+	if !how.NeverRan() && (o.ran == nil || p.at < o.ran.at) {
+		o.ran = &p
 	}
-	if c == b.origin {
-		b.pump()
+	c.out--
+	if p.fetches {
+		b.shadow.out--
 	}
-}
-
-func (b *Balancer) settle(o *op, c *cache, n int, how Outcome, terminal, fetchFailed bool) {
-	if i := slices.IndexFunc(o.out, func(p push) bool { return p.n == n }); i >= 0 {
-		if p := o.out[i]; !how.NeverRan() && (o.ran == nil || p.at < o.ran.at) {
-			o.ran = &p
+	if how == Acked {
+		c.done[0]++
+		if b.shadow != nil {
+			b.kept[0][o.key] = true
 		}
-		o.out = slices.Delete(o.out, i, i+1)
 	}
+	// A cache whose fetch failed is not sick: the origin is, and another push would only fetch once more.
+	if b.shadow != nil && (missed || p.fetches && how == TimedOut) {
+		judged = b.shadow
+	}
+	b.learn(judged, how, taken, o.cat.Target/2)
 	switch {
 	case terminal || o.done:
 		b.finish(o, how == Acked && c == b.origin)
@@ -539,7 +550,7 @@
 		} else {
 			b.toOrigin(o)
 		}
-	case fetchFailed || b.host.Now() >= o.aim || o.n >= o.most || b.retries < 1 ||
+	case missed && how == Errored || b.host.Now() >= o.aim || o.n >= o.most || b.retries < 1 ||
 		o.ran != nil && o.cat.Effect == AtMostOnce:
 		b.giveUp(o)
 	default:
@@ -550,6 +561,9 @@
 			b.toCache(o)
 		}
 	}
+	if c == b.origin {
+		b.pump()
+	}
 }
 
 // learn books an outcome to its cache: limit, health, cold budget.
@@ -560,9 +574,6 @@
 		c.good++
 		c.rest = 0
 		c.span.add(bits.Len(uint(taken / b.Tick)))
-		if how == Acked {
-			c.done[0]++
-		}
 		if taken > inTime {
 			b.cut(c, now, 0.9)
 		} else if float64(c.out+1) >= c.limit/2 && taken < inTime/2 {
@@ -573,7 +584,7 @@
 	case TimedOut, Errored:
 		c.bad++
 		b.cut(c, now, 0.7)
-		if c != b.origin && c.bad >= 3 && c.bad/(c.good+c.bad) > 2*b.medianBad()+0.25 {
+		if !c.shared && c.bad >= 3 && c.bad/(c.good+c.bad) > 2*b.medianBad()+0.25 {
 			b.suspend(c, now)
 		}
 	case ConnectFailed, Broken:
@@ -585,14 +596,13 @@
 
 func (b *Balancer) cut(c *cache, now Time, by float64) {
 	if now >= c.cutAt+b.shortest/4 {
-		floor := 1.0 / 16
-		if c == b.origin {
-			floor = 1
-		}
-		limit := c.limit
+		limit, floor := c.limit, 1.0/16
 		if by < 0.9 { // a failure, not one slow answer: start from what is in use
 			limit = min(limit, float64(c.out+1))
 		}
+		if c.shared {
+			floor = 1
+		}
 		c.limit, c.cutAt = max(limit*by, floor), now
 	}
 }
@@ -621,25 +631,19 @@
 // ProbeReturned takes the result of a probe of a cache that could not be reached.
 func (b *Balancer) ProbeReturned(id uint32, how Outcome) {
 	c := b.caches[id]
-	if c == nil {
-		return
-	}
-	c.probing = false
-	now := b.host.Now()
-	if how != Acked {
-		b.suspend(c, now)
+	if c == nil || how != Acked {
 		return
 	}
 	if c.fails > 1 {
-		c.Start = now // it was away: cold, whatever the list still says of its start
+		c.back = b.host.Now() // it was away: cold, whatever the list still says of its start
 	}
 	c.fails, c.rest, c.restUntil = 0, 0, 0
 }
 
 // StreamBegan: the push's answer is with the client; its outcome will be terminal.
-func (b *Balancer) StreamBegan(id uint32, n int) {
+func (b *Balancer) StreamBegan(id uint32) {
 	if o := b.ops[id]; o != nil {
-		o.aim, o.end = 1<<62, 1<<62
+		o.most = 0
 	}
 }
 
@@ -669,7 +673,7 @@
 // finish ends an op; stored says that its fetch was answered.
 func (b *Balancer) finish(o *op, stored bool) {
 	first := !o.done
-	o.done, o.held = true, false
+	o.done = true
 	if first && b.Cancelling {
 		for _, p := range o.out {
 			b.host.Cancel(o.id, p.n)
@@ -721,7 +725,7 @@
 	case tokenWatch:
 		b.host.Watch(true)
 	default:
-		if o := b.ops[uint32(token-tokenOp)]; o != nil && o.held && b.host.Now() >= o.aim {
+		if o := b.ops[uint32(token-tokenOp)]; o != nil && !o.done && len(o.out) == 0 && b.host.Now() >= o.aim {
 			b.giveUp(o)
 		}
 	}
@@ -732,16 +736,18 @@
 	b.host.Timer(tokenTick, 4*b.Tick)
 	for i := range b.tenants {
 		t := &b.tenants[i]
-		t.tokens = min(t.tokens+t.rate*float64(now-b.ticked)/10000, 2*t.rate)
+		t.tokens = min(t.tokens+t.rate*float64(4*b.Tick)/10000, 2*t.rate)
 	}
-	b.ticked = now
 	roll := now >= b.rolled+b.TipAfter/(quarters-1)
 	if roll {
 		b.rolled = now
+		if b.turn++; b.shadow != nil && b.turn%(2*quarters) == 0 {
+			b.kept = [2]map[uint64]bool{{}, b.kept[0]}
+		}
 	}
 	for _, c := range b.ranks {
-		if c.fails > 0 && now >= c.restUntil && !c.probing && b.Probing {
-			c.probing = true
+		if c.fails > 0 && now >= c.restUntil && b.Probing {
+			b.suspend(c, now) // until the probe returns, or for good
 			b.host.Probe(c.ID)
 		}
 		if roll {
