--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -34,7 +34,6 @@
 	Limits struct {
 		Cancelling    bool   `json:"cancelling"`
 		MaxRetryAfter uint64 `json:"max-retry-after-us"`
-		MayDuplicate  bool   `json:"may-duplicate"`
 		MostPushes    int    `json:"most-pushes"`
 		Probing       bool   `json:"probing"`
 		RetryAfter    bool   `json:"retry-after"`
@@ -43,7 +42,6 @@
 		Quota float64 `json:"quota-rps"`
 	} `json:"tenants"`
 	Tick uint64 `json:"tick-us"`
-	Zone int    `json:"zone"`
 }
 
 var effects = map[string]policy.Effect{
@@ -62,12 +60,12 @@
 		return s, fmt.Errorf("settings: categories is empty")
 	}
 	s = policy.Settings{
-		BeyondBenefit: c.Beyond, Proxies: max(c.Balancers, 1), Zone: c.Zone,
+		BeyondBenefit: c.Beyond, Proxies: max(c.Balancers, 1),
 		AskList: c.Discovery == "ask", AskEvery: down(c.Contract.AskEvery),
 		Aside: c.FamilyInfo.Mode == "aside", OriginKind: -1,
 		ColdFrom: c.Contract.ColdFrom, WarmUp: down(c.Contract.WarmUp + 99),
 		FallMultiple: c.Contract.FallMultiple, TipAfter: down(c.Contract.TipAfter + 99),
-		Tick: max(down(c.Tick+99), 1), MostPushes: max(c.Limits.MostPushes, 1), Duplicates: c.Limits.MayDuplicate,
+		Tick: max(down(c.Tick+99), 1), MostPushes: max(c.Limits.MostPushes, 1),
 		Cancelling: c.Limits.Cancelling, Probing: c.Limits.Probing,
 	}
 	if c.FamilyInfo.OriginKind != nil {
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -33,7 +33,7 @@
 
 // Serve answers batches until the input ends.
 func Serve(r io.Reader, out io.Writer) error {
-	in := bufio.NewReaderSize(r, 1<<20)
+	in := bufio.NewReaderSize(r, 1<<16)
 	w := &wire{instances: map[uint16]*instance{}}
 	var header [batchHeader]byte
 	var body []byte
@@ -244,7 +244,9 @@
 		if e.State, ok = states[state]; !ok {
 			return fmt.Errorf("unknown state %d", state)
 		}
-		e.Weight = float64(r.f32())
+		if e.Weight = float64(r.f32()); !(e.Weight > 0) || math.IsInf(e.Weight, 0) {
+			e.Weight = 1 // absent, or no figure to compare by
+		}
 		// A start is rounded up: a cache must not count as older than it is.
 		e.Start = down(r.u64() + 99)
 		entries[i] = e
@@ -296,4 +298,3 @@
 func (in *instance) Probe(cache uint32) {
 	in.w.out = binary.LittleEndian.AppendUint32(in.begin(9), cache)
 }
-func (in *instance) Log(s string) { in.w.out = text(append(in.w.out, 10), in.id, s) }
--- /dev/null
+++ b/internal/simwire/simwire_test.go
@@ -0,0 +1,128 @@
+package simwire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"strings"
+	"testing"
+)
+
+const settings = `{"balancers": 2, "categories": [{"benefit": 2, "effect": "read_like", "target-latency-us": 300000,
+	"ttl-us": 900000}], "contract": {"warm-up-us": 5000000, "tip-after-us": 2000000, "fall-multiple": 2,
+	"cold-from": 0.5}, "family-info": {"mode": "through", "origin-kind": -1}, "limits": {"most-pushes": 3,
+	"retry-after": true, "max-retry-after-us": 1000000}, "tick-us": 5000, "unheard-of": {"x": 1}}`
+
+// record packs a code and its fields: sized integers, and strings as they are.
+func record(fields ...any) []byte {
+	var b bytes.Buffer
+	for _, f := range fields {
+		if s, ok := f.(string); ok {
+			b.WriteString(s)
+			continue
+		}
+		binary.Write(&b, binary.LittleEndian, f)
+	}
+	return b.Bytes()
+}
+
+func frame(clock uint64, records ...[]byte) []byte {
+	body := bytes.Join(records, nil)
+	return append(record(uint32(12+len(body)), clock), body...)
+}
+
+func start(instance uint16, conf string) []byte {
+	return record(uint8(6), instance, uint64(11), uint32(len(conf)), conf)
+}
+
+func list(instance uint16, caches ...uint32) []byte {
+	b := record(uint8(8), instance, uint8(2), uint32(1), uint32(len(caches)))
+	for _, c := range caches {
+		b = append(b, record(c, uint16(0), uint8(0), uint16(0), uint8(3), float32(1), uint64(0))...)
+	}
+	return b
+}
+
+func ask(instance uint16, id uint32) []byte {
+	return record(uint8(7), instance, id, uint64(77), uint8(0), uint16(0), uint32(800000), float32(0), uint32(0), uint16(0))
+}
+
+func ended(instance uint16, id, cache uint32, reason, terminal, n uint8) []byte {
+	return record(uint8(10), instance, id, cache, uint32(1), reason, terminal, n, uint32(20000), uint8(1), float32(3))
+}
+
+func serve(t *testing.T, frames ...[]byte) ([]byte, error) {
+	t.Helper()
+	var out bytes.Buffer
+	err := Serve(bytes.NewReader(bytes.Join(frames, nil)), &out)
+	return out.Bytes(), err
+}
+
+func TestActions(t *testing.T) {
+	out, err := serve(t, frame(1000000),
+		frame(1005000, start(3, settings), list(3, 50), ask(3, 9)),
+		frame(1010000, ended(3, 9, 50, 10, 1, 0), ended(3, 9, 50, 10, 1, 0)),
+		frame(1015000, list(3), ask(3, 10), record(uint8(4), uint16(3)), start(3, settings)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	timer := record(uint8(5), uint16(3), uint64(0), uint32(20000))
+	reply := func(records ...[]byte) []byte {
+		body := bytes.Join(records, nil)
+		return append(record(uint32(4+len(body))), body...)
+	}
+	pushed := record(uint8(1), uint16(3), uint32(9), uint64(1005000+300000-10000), uint32(50))
+	want := append(append(reply(), reply(timer, pushed)...), reply()...)
+	if !bytes.HasPrefix(out, want) {
+		t.Fatalf("got\n%x, want it to begin with\n%x", out, want)
+	}
+	// An op without a cache is nacked; then the instance is killed and starts anew in the same batch.
+	rest := out[len(want):]
+	nacked := record(uint8(7), uint16(3), uint32(10))
+	if len(rest) != 4+11+15 || !bytes.HasPrefix(rest[4:], nacked) || !bytes.HasSuffix(rest, timer) {
+		t.Errorf("last reply is %x", rest)
+	}
+}
+
+func TestBadInput(t *testing.T) {
+	whole := frame(1000000, start(3, settings), list(3, 50), ask(3, 9))
+	for n := 1; n < len(whole); n++ {
+		if _, err := serve(t, whole[:n]); err == nil {
+			t.Errorf("input cut at %d of %d bytes was accepted", n, len(whole))
+		}
+	}
+	for name, bad := range map[string][]byte{
+		"length 3 does not fit":        record(uint32(3), uint64(0)),
+		"unknown code 99":              frame(0, record(uint8(99), uint16(0), uint64(0))),
+		"cut short after":              record(uint32(1<<29), uint64(0), uint64(0)),
+		"list of 1000000000 entries":   frame(0, record(uint8(8), uint16(0), uint8(0), uint32(1), uint32(1000000000))),
+		"code 7 is cut short":          frame(0, ask(3, 9)[:20]),
+		"record 1 at offset 23: unkno": frame(0, record(uint8(3), uint16(0), uint64(0)), record(uint8(77), uint16(0))),
+		"unknown outcome 11":           frame(0, ended(3, 9, 50, 11, 1, 0)),
+	} {
+		if _, err := serve(t, bad); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("want an error with %q, got %v", name, err)
+		}
+	}
+}
+
+func TestBadSettings(t *testing.T) {
+	for bad, name := range map[string]string{
+		"{":                  "settings: ",
+		`{"categories": []}`: "categories",
+		`{"categories": [{"effect": "sometimes"}]}`:                  "categories[0].effect",
+		`{"categories": [{"effect": "read_like", "group": "moon"}]}`: "categories[0].group",
+	} {
+		out, err := serve(t, frame(0, start(3, bad), list(3, 50), ask(3, 9)))
+		if err != nil || len(out) < 5 || out[4] != 12 || !strings.Contains(string(out), name) {
+			t.Errorf("settings %s: want a fault naming %q, got %q, %v", bad, name, out, err)
+		}
+	}
+}
+
+func FuzzServe(f *testing.F) {
+	f.Add(frame(1000000, start(3, settings), list(3, 50), ask(3, 9), ended(3, 9, 50, 20, 0, 0)))
+	f.Fuzz(func(t *testing.T, input []byte) {
+		Serve(bytes.NewReader(input), io.Discard)
+	})
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -51,28 +51,28 @@
 }
 
 // circle is round-mapping (paper, section 2): m arcs, step s, 2^q groups, p the last short arc.
-type circle struct{ m, s, q, p int }
+type circle struct{ s0, m, s, q, p int }
 
-func newCircle(m int) circle {
-	m = max(m, slack)
-	q := bits.Len(uint(m/slack)) - 1
+func newCircle(s0, m int) circle {
+	m = max(m, s0)
+	q := bits.Len(uint(m/s0)) - 1
 	s := m >> q
-	return circle{m: m, s: s, q: q, p: (m-s<<q)*(s+1) - 1}
+	return circle{s0: s0, m: m, s: s, q: q, p: (m-s<<q)*(s+1) - 1}
 }
 
 // bucket is Algorithm 1 of the paper.
 func (c circle) bucket(j int) int {
-	if j < slack {
+	if j < c.s0 {
 		return j
 	}
 	s := c.s + 1
 	if j > c.p {
 		j, s = j-(c.p+1)/(c.s+1), c.s
 	}
-	native := (s - 1) / slack
-	x, q := j%s%slack, c.q+native
-	i := (1+native)*(j/s) + j%s/slack
-	return ((slack+x)<<q + i) >> (bits.TrailingZeros(uint(i)) + 1)
+	native := (s - 1) / c.s0
+	x, q := j%s%c.s0, c.q+native
+	i := (1+native)*(j/s) + j%s/c.s0
+	return ((c.s0+x)<<q + i) >> (bits.TrailingZeros(uint(i)) + 1)
 }
 
 // hist counts spans in bins that double, from a tick up.
@@ -191,13 +191,15 @@
 // New starts a proxy; a list of kind ListCached is expected next.
 func New(s Settings, seed uint64, h Host) *Balancer {
 	b := &Balancer{Settings: s, host: h, rnd: pcg{seed}, caches: map[uint32]*cache{}, ops: map[uint32]*op{},
-		fetches: map[uint64]*fetch{}, tries: make([]tryLength, len(s.Categories)), shortest: s.Categories[0].Target}
+		fetches: map[uint64]*fetch{}, tries: make([]tryLength, len(s.Categories)), shortest: s.Categories[0].Target,
+		retries: 1 / retryShare}
 	for _, c := range s.Categories {
 		b.benefit = max(b.benefit, c.Benefit)
 		b.shortest = min(b.shortest, c.Target)
 	}
 	for _, quota := range s.Quotas {
-		b.tenants = append(b.tenants, tenant{rate: quota / float64(s.Proxies)})
+		rate := quota / float64(s.Proxies)
+		b.tenants = append(b.tenants, tenant{rate, rate})
 	}
 	if !s.Aside {
 		b.shadow = &cache{limit: 4 * firstLimit, shared: true}
@@ -235,9 +237,6 @@
 			c.restUntil, c.rest, c.fails, c.bad = 0, 0, 0, 0 // a new process: old failures say nothing of it
 		}
 		e.Start = max(e.Start, c.Start)
-		if !(e.Weight > 0) {
-			e.Weight = 1
-		}
 		c.Entry, c.listed = e, e.State != Gone
 	}
 	b.ranks, b.origin = b.ranks[:0], nil
@@ -265,7 +264,7 @@
 	for m < 4*len(b.ranks) {
 		m *= 2
 	}
-	b.circle, b.seats = newCircle(m), make([]*cache, m)
+	b.circle, b.seats = newCircle(slack, m), make([]*cache, m)
 	b.heaviest = 0
 	for _, c := range b.ranks {
 		b.heaviest = max(b.heaviest, c.Weight)
@@ -350,8 +349,7 @@
 	if !c.listed || c.State != Ready || slices.Contains(o.tried, c) {
 		return false
 	}
-	resting := now < c.restUntil || c.rest > 0 && c.out > 0 || c.fails > 0 && b.Probing
-	if c != b.origin && (resting || !b.coldRoom(c, now)) {
+	if c != b.origin && (now < c.restUntil || !b.coldRoom(c, now)) {
 		return false
 	}
 	if o.ran == nil || o.cat.Effect == Redeliverable {
@@ -607,8 +605,8 @@
 	}
 }
 
-// suspend rests a cache, longer each time; after it one push at a time is its trial. A short rest with a full
-// return would feed a cache that stands still a steady share of ops.
+// suspend rests a cache, longer each time until it answers: short rests alone would feed a cache that stands
+// still a steady share of ops. Its limit, cut by the failures, keeps the return careful.
 func (b *Balancer) suspend(c *cache, now Time) {
 	if now >= c.restUntil {
 		c.rest = min(max(2*c.rest, b.shortest), 16*b.shortest)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1,6 +1,16 @@
 package policy
 
-import "testing"
+import (
+	"bufio"
+	"cmp"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
 
 // grow adds buckets one by one as section 2 of the paper tells it and returns the bucket of each arc.
 func grow(s0, m int) []int {
@@ -22,12 +32,279 @@
 }
 
 func TestRoundMapping(t *testing.T) {
-	for m := slack; m <= 9*slack; m++ {
-		c := newCircle(m)
-		for j, want := range grow(slack, m) {
-			if got := c.bucket(j); got != want {
-				t.Errorf("%d buckets, arc %d: bucket %d, the paper's steps give %d", m, j, got, want)
+	for _, s0 := range []int{2, 3, 4, 8, 64} {
+		for m := s0; m <= 9*s0; m++ {
+			c, seen := newCircle(s0, m), make([]bool, m)
+			for j, want := range grow(s0, m) {
+				got := c.bucket(j)
+				if got != want || seen[got] {
+					t.Fatalf("s0 %d, %d buckets, arc %d: bucket %d, the paper's steps give %d", s0, m, j, got, want)
+				}
+				seen[got] = true
 			}
 		}
 	}
 }
+
+// world plays a scenario: it is the module's host, and answers pushes by itself where told to.
+type world struct {
+	t        *testing.T
+	s        Settings
+	b        *Balancer
+	now      Time
+	due      []event
+	log      []string
+	counts   map[string]int
+	pushes   map[uint32]int
+	names    map[string]string
+	auto     map[string]string // cache, or *: outcome
+	autoTime Time
+}
+
+type event struct {
+	at Time
+	do func()
+}
+
+func (w *world) Now() Time { return w.now }
+func (w *world) say(kind string, what ...any) {
+	line := strings.TrimSpace(kind + " " + fmt.Sprintln(what...))
+	w.log = append(w.log, line)
+	w.counts[kind]++
+	w.counts[fmt.Sprint(kind, " ", what[min(1, len(what)-1)])]++
+}
+func (w *world) after(span Time, do func()) { w.due = append(w.due, event{w.now + span, do}) }
+func (w *world) Push(op, cache uint32, until Time) {
+	w.say("push", op, cache, until/10)
+	n := w.pushes[op]
+	w.pushes[op]++
+	outcome, ok := w.auto[fmt.Sprint(cache)]
+	if !ok {
+		outcome, ok = w.auto["*"]
+	}
+	if ok {
+		span := w.autoTime
+		if outcome == "timeout" {
+			span = until - w.now
+		}
+		w.after(span, func() { w.b.PushEnded(op, n, outcomes[outcome], outcome == "unfetched", outcome == "acked", span) })
+	}
+}
+func (w *world) Cancel(op uint32, push int)     { w.say("cancel", op, push) }
+func (w *world) Nack(op uint32, comeBack Time)  { w.say("nack", op) }
+func (w *world) DeadLetter(op uint32)           { w.say("dead", op) }
+func (w *world) Timer(token uint64, after Time) { w.after(after, func() { w.b.TimerDue(token) }) }
+func (w *world) Probe(cache uint32)             { w.say("probe", cache) }
+func (w *world) Watch(on bool)                  { w.say("watch", on) }
+
+func (w *world) run(to Time) {
+	for {
+		next := -1
+		for i, e := range w.due {
+			if e.at <= to && (next < 0 || e.at < w.due[next].at) {
+				next = i
+			}
+		}
+		if next < 0 {
+			w.now = to
+			return
+		}
+		e := w.due[next]
+		w.due = slices.Delete(w.due, next, next+1)
+		w.now = e.at
+		e.do()
+	}
+}
+
+var outcomes = map[string]Outcome{"acked": Acked, "error": Errored, "unfetched": Errored, "full": Full, "timeout": TimedOut,
+	"unconnected": ConnectFailed, "broken": Broken, "cancelled": Cancelled, "moot": Moot, "miss": Miss}
+var lists = map[string]ListKind{"full": ListFull, "delta": ListDelta, "cached": ListCached, "failed": ListFailed}
+
+func number(t *testing.T, s string) float64 {
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil {
+		t.Fatalf("not a number: %q", s)
+	}
+	return v
+}
+
+// options reads words such as zone=2 into figures; a bare word is 1.
+func options(t *testing.T, words []string) map[string]float64 {
+	o := map[string]float64{}
+	for _, word := range words {
+		name, value, ok := strings.Cut(word, "=")
+		if !ok {
+			value = "1"
+		}
+		o[name] = number(t, value)
+	}
+	return o
+}
+
+// entry reads 3, 3:draining, 3:gone, 9:origin, with options after slashes: 3/zone=1/start=500/weight=0.5.
+func entry(t *testing.T, word string) Entry {
+	parts := strings.Split(word, "/")
+	id, state, _ := strings.Cut(parts[0], ":")
+	o := options(t, parts[1:])
+	e := Entry{ID: uint32(number(t, id)), Zone: int(o["zone"]), Cell: int(o["cell"]), Weight: cmp.Or(o["weight"], 1),
+		Start: Time(10 * o["start"])}
+	switch state {
+	case "draining":
+		e.State = Draining
+	case "gone":
+		e.State = Gone
+	case "origin":
+		e.Kind = 1
+	}
+	return e
+}
+
+func (w *world) op(id uint32, o map[string]float64) {
+	left := Time(10 * o["left"])
+	if left == 0 {
+		left = w.s.Categories[int(o["cat"])].TTL
+	}
+	w.b.OpArrived(id, uint64(o["key"]), int(o["cat"]), int(o["tenant"]), o["write"] > 0, left)
+}
+
+// want checks the next action: * is any word, ?x names a word, x a word so named, !x any other.
+func (w *world) want(words []string) error {
+	if len(w.log) == 0 {
+		return fmt.Errorf("nothing was done")
+	}
+	got := strings.Fields(w.log[0])
+	for i, word := range words {
+		name := strings.TrimLeft(word, "?!")
+		switch {
+		case i >= len(got):
+			return fmt.Errorf("got %q", w.log[0])
+		case word == "*":
+		case word[0] == '?':
+			w.names[name] = got[i]
+		case word[0] == '!' && w.names[name] != got[i]:
+		case word[0] != '!' && (word == got[i] || w.names[word] == got[i]):
+		default:
+			return fmt.Errorf("got %q", w.log[0])
+		}
+	}
+	w.log = w.log[1:]
+	return nil
+}
+
+func (w *world) step(words []string) error {
+	t, rest := w.t, words[1:]
+	switch words[0] {
+	case "settings":
+		o := options(t, rest)
+		w.s = Settings{Proxies: int(max(o["proxies"], 1)), AskList: o["ask"] > 0, AskEvery: 100000,
+			Aside: o["aside"] > 0, OriginKind: 1, ColdFrom: 0.5, WarmUp: 100000, FallMultiple: 2, TipAfter: 20000,
+			Tick: 50, MaxRetryAfter: 10000, MostPushes: 4, Cancelling: true, Probing: o["probing"] > 0,
+			BeyondBenefit: o["beyond"]}
+	case "category":
+		o := options(t, rest[1:])
+		w.s.Categories = append(w.s.Categories, Category{Benefit: max(o["benefit"], 1), Window: Time(10 * o["window"]),
+			Target: Time(10 * o["target"]), TTL: Time(10 * o["ttl"]), Group: Group(o["group"]),
+			Effect: map[string]Effect{"redeliverable": Redeliverable, "deduplicated": Deduplicated,
+				"at-most-once": AtMostOnce}[rest[0]]})
+	case "tenant":
+		w.s.Quotas = append(w.s.Quotas, number(t, rest[0]))
+	case "start":
+		w.b = New(w.s, 7, w)
+	case "list":
+		var entries []Entry
+		for _, word := range rest[1:] {
+			entries = append(entries, entry(t, strings.ReplaceAll(word, "now", fmt.Sprint(w.now/10))))
+		}
+		w.b.ListArrived(lists[rest[0]], entries)
+	case "op":
+		w.op(uint32(number(t, rest[0])), options(t, rest[1:]))
+	case "flood": // ops from an id on, each with a key of its own unless one is given
+		o := options(t, rest[1:])
+		first := number(t, rest[0])
+		for i := 0.0; i < o["n"]; i++ {
+			if _, ok := o["key"]; !ok || o["spread"] > 0 {
+				o["spread"], o["key"] = 1, first+i
+			}
+			w.op(uint32(first+i), o)
+			w.run(w.now + Time(10*o["gap"]))
+		}
+	case "end":
+		o := options(t, rest[3:])
+		n := int(number(t, rest[1]))
+		w.b.PushEnded(uint32(number(t, rest[0])), n, outcomes[rest[2]], o["missed"] > 0,
+			o["final"] > 0 || rest[2] == "acked", Time(10*o["taken"]))
+	case "auto":
+		name := rest[0]
+		if w.names[name] != "" {
+			name = w.names[name]
+		}
+		w.auto[name], w.autoTime = rest[1], Time(10*number(t, rest[2]))
+	case "leaves":
+		w.b.ClientLeft(uint32(number(t, rest[0])))
+	case "probed":
+		name := rest[0]
+		if w.names[name] != "" {
+			name = w.names[name]
+		}
+		w.b.ProbeReturned(uint32(number(t, name)), outcomes[rest[1]])
+	case "wait":
+		w.run(w.now + Time(10*number(t, rest[0])))
+	case "want":
+		return w.want(rest)
+	case "nothing":
+		if len(w.log) > 0 {
+			return fmt.Errorf("got %q", w.log[0])
+		}
+	case "forget":
+		w.log, w.counts = nil, map[string]int{}
+	case "count": // count push 3 from 1 to 10
+		what := strings.Join(rest[:len(rest)-4], " ")
+		if name := w.names[rest[len(rest)-5]]; name != "" {
+			what = strings.Replace(what, rest[len(rest)-5], name, 1)
+		}
+		n := float64(w.counts[what])
+		if n < number(t, rest[len(rest)-3]) || n > number(t, rest[len(rest)-1]) {
+			return fmt.Errorf("%s: %v times", what, n)
+		}
+	default:
+		return fmt.Errorf("unknown step")
+	}
+	return nil
+}
+
+func TestScenarios(t *testing.T) {
+	files, _ := filepath.Glob("testdata/*.txt")
+	if len(files) == 0 {
+		t.Fatal("no scenarios")
+	}
+	for _, file := range files {
+		f, err := os.Open(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer f.Close()
+		var chapters []string
+		lines, name := map[string][]string{}, ""
+		for in, n := bufio.NewScanner(f), 1; in.Scan(); n++ {
+			text, _, _ := strings.Cut(in.Text(), "#")
+			if title, ok := strings.CutPrefix(text, "== "); ok {
+				name = strings.TrimSpace(title)
+				chapters = append(chapters, name)
+			} else if strings.TrimSpace(text) != "" {
+				lines[name] = append(lines[name], fmt.Sprintf("%d %s", n, text))
+			}
+		}
+		for _, chapter := range chapters {
+			t.Run(filepath.Base(file)+"/"+chapter, func(t *testing.T) {
+				w := &world{t: t, now: 1000, counts: map[string]int{}, pushes: map[uint32]int{},
+					names: map[string]string{}, auto: map[string]string{}}
+				for _, line := range append(slices.Clone(lines[""]), lines[chapter]...) {
+					words := strings.Fields(line)
+					if err := w.step(words[1:]); err != nil {
+						t.Fatalf("line %s: %v", line, err)
+					}
+				}
+			})
+		}
+	}
+}
--- a/policy/types.go
+++ b/policy/types.go
@@ -61,8 +61,8 @@
 	Zone, Kind int
 	Cell       int
 	State      State
-	Weight     float64
-	Start      Time // 0: long ago
+	Weight     float64 // above 0
+	Start      Time    // 0: long ago
 }
 
 type Category struct {
@@ -80,7 +80,6 @@
 	Quotas        []float64 // ops a second inside each tenant's share, over all proxies
 	BeyondBenefit float64   // share of its benefit that an op beyond its tenant's share keeps
 	Proxies       int
-	Zone          int
 	AskList       bool
 	AskEvery      Time
 	Aside         bool
@@ -92,7 +91,6 @@
 	Tick          Time
 	MaxRetryAfter Time // 0: clients take no advice
 	MostPushes    int
-	Duplicates    bool
 	Cancelling    bool
 	Probing       bool
 }
@@ -107,5 +105,4 @@
 	Timer(token uint64, after Time)
 	Probe(cache uint32)
 	Watch(on bool)
-	Log(text string)
 }
