1,024 seats, so that a growing fleet does not change m

Cause (photos incident, fleet grown from 31 to 104 in 20 s): past 64 caches the 256 seats doubled and nearly every key moved while the new caches were cold.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,7 +20,7 @@
 
 const (
 	slack      = 4   // s0 of the design
-	spareSeats = 64  // seats to s0, at the least: a fleet may triple before seats double
+	spareSeats = 256 // seats to s0, at the least: m then stands still while a fleet grows
 	candidates = 3   // caches that a key may go to on the ordinary path
 	quarters   = 5   // four quarters of the cold window, and the one begun
 	coldMargin = 0.6 // of the cold budget, left for chance and for works of unlike size
@@ -261,7 +261,7 @@
 // free one that its id hashes to: all proxies agree from the list alone, and a restart gets its seat back.
 func (b *Balancer) seat() {
 	m := max(len(b.seats), slack*spareSeats)
-	for m < 4*len(b.ranks) {
+	for m < 2*len(b.ranks) {
 		m *= 2
 	}
 	b.circle, b.seats = newCircle(slack, m), make([]*cache, m)
