--- a/policy/policy.go
+++ b/policy/policy.go
@@ -114,20 +114,19 @@
 }
 
 type op struct {
-	id     uint32
-	key    uint64
-	cat    *Category
-	write  bool
-	lane   float64 // share of a limit that it may fill
-	aim    Time    // the last moment at which an answer has its full benefit
-	most   int     // pushes it may have
-	n      int     // pushes made
-	out    []push
-	tried  []*cache
-	missed *cache
-	ran    *push // the first push that may have run
-	fetch  *fetch
-	done   bool
+	id    uint32
+	key   uint64
+	cat   *Category
+	write bool
+	lane  float64 // share of a limit that it may fill
+	aim   Time    // the last moment at which an answer has its full benefit
+	most  int     // pushes it may have
+	n     int     // pushes made
+	out   []push
+	tried []*cache
+	ran   *push // the first push that may have run
+	waits []*op // for this op's fetch of their key
+	done  bool
 }
 
 type push struct {
@@ -137,11 +136,6 @@
 	fetches bool // its key is not known to be kept
 }
 
-type fetch struct {
-	leader  *op
-	waiting []*op
-}
-
 // tryLength is how long a client waits for a first try, found by majority vote: first tries are the most.
 // Later tries may be longer or shorter, and must not be taken for the measure.
 type tryLength struct {
@@ -176,8 +170,8 @@
 	shadow   *cache             // the origin where caches fetch for themselves: pushes that may fetch
 	kept     [2]map[uint64]bool // keys answered lately, so likely kept
 	ops      map[uint32]*op
-	fetches  map[uint64]*fetch
-	queue    []*op // for the origin
+	fetches  map[uint64]*op // by key: the op whose fetch is out or queued
+	queue    []*op          // for the origin
 	tenants  []tenant
 	tries    []tryLength // by category
 	benefit  float64     // the highest
@@ -191,7 +185,7 @@
 // New starts a proxy; a list of kind ListCached is expected next.
 func New(s Settings, seed uint64, h Host) *Balancer {
 	b := &Balancer{Settings: s, host: h, rnd: pcg{seed}, caches: map[uint32]*cache{}, ops: map[uint32]*op{},
-		fetches: map[uint64]*fetch{}, tries: make([]tryLength, len(s.Categories)), shortest: s.Categories[0].Target,
+		fetches: map[uint64]*op{}, tries: make([]tryLength, len(s.Categories)), shortest: s.Categories[0].Target,
 		retries: 1 / retryShare}
 	for _, c := range s.Categories {
 		b.benefit = max(b.benefit, c.Benefit)
@@ -305,9 +299,7 @@
 	b.retries = min(b.retries+retryShare, 1/retryShare)
 	if o.aim <= now {
 		b.giveUp(o)
-	} else if f := b.fetches[key]; f != nil && !write && key != 0 {
-		b.wait(o, f)
-	} else if write && b.Aside {
+	} else if b.Aside && (write || b.fetches[o.key] != nil) {
 		b.toOrigin(o)
 	} else {
 		b.toCache(o)
@@ -437,15 +429,17 @@
 	return b.shadow != nil && (o.write || !b.kept[0][o.key] && !b.kept[1][o.key])
 }
 
-// toOrigin queues an op for the origin, if an answer in time can be hoped for.
+// toOrigin queues an op for the origin, if an answer in time can be hoped for. A read whose key this proxy
+// fetches already waits for that fetch instead, and then goes to the caches again.
 func (b *Balancer) toOrigin(o *op) {
 	if b.origin == nil {
 		b.giveUp(o)
 		return
 	}
-	if !o.write && o.fetch == nil && b.fetches[o.key] == nil {
-		o.fetch = &fetch{leader: o}
-		b.fetches[o.key] = o.fetch
+	if f := b.fetches[o.key]; !o.write && f != nil && f != o {
+		f.waits = append(f.waits, o)
+		b.hold(o)
+		return
 	}
 	span := float64(b.origin.span.median() * b.Tick)
 	wait := span * float64(len(b.queue)) / b.origin.limit / o.lane
@@ -454,6 +448,9 @@
 		return
 	}
 	b.hold(o)
+	if !o.write {
+		b.fetches[o.key] = o
+	}
 	at := len(b.queue)
 	for at > 0 && b.queue[at-1].lane < o.lane {
 		at--
@@ -475,13 +472,6 @@
 	}
 }
 
-// wait lets an op wait for another one's fetch of the same key.
-func (b *Balancer) wait(o *op, f *fetch) {
-	o.fetch = f
-	f.waiting = append(f.waiting, o)
-	b.hold(o)
-}
-
 // hold keeps an op with nothing out until its target latency, at most.
 func (b *Balancer) hold(o *op) {
 	b.host.Timer(tokenOp+uint64(o.id), o.aim-b.host.Now())
@@ -537,17 +527,10 @@
 	b.learn(judged, how, taken, o.cat.Target/2)
 	switch {
 	case terminal || o.done:
-		b.finish(o, how == Acked && c == b.origin)
+		b.finish(o)
 	case len(o.out) > 0:
 	case how == Miss && b.Aside && o.n < b.MostPushes:
-		if o.missed == nil {
-			o.missed = c
-		}
-		if f := b.fetches[o.key]; f != nil && f.leader != o && !o.write {
-			b.wait(o, f)
-		} else {
-			b.toOrigin(o)
-		}
+		b.toOrigin(o)
 	case missed && how == Errored || b.host.Now() >= o.aim || o.n >= o.most || b.retries < 1 ||
 		o.ran != nil && o.cat.Effect == AtMostOnce:
 		b.giveUp(o)
@@ -648,7 +631,7 @@
 // ClientLeft: nothing more is owed.
 func (b *Balancer) ClientLeft(id uint32) {
 	if o := b.ops[id]; o != nil {
-		b.finish(o, false)
+		b.finish(o)
 	}
 }
 
@@ -665,52 +648,28 @@
 		}
 		b.host.Nack(o.id, min(back, b.MaxRetryAfter))
 	}
-	b.finish(o, false)
+	b.finish(o)
 }
 
-// finish ends an op; stored says that its fetch was answered.
-func (b *Balancer) finish(o *op, stored bool) {
-	first := !o.done
-	o.done = true
-	if first && b.Cancelling {
+// finish ends an op, and lets go those that waited for its fetch, whether it was answered or not.
+func (b *Balancer) finish(o *op) {
+	if !o.done && b.Cancelling {
 		for _, p := range o.out {
 			b.host.Cancel(o.id, p.n)
 		}
 	}
+	o.done = true
 	if len(o.out) == 0 {
 		delete(b.ops, o.id)
 	}
 	b.queue = slices.DeleteFunc(b.queue, func(q *op) bool { return q == o })
-	f := o.fetch
-	if f == nil {
-		return
-	}
-	o.fetch = nil
-	if f.leader != o {
-		f.waiting = slices.DeleteFunc(f.waiting, func(q *op) bool { return q == o })
-		return
-	}
-	waiting := f.waiting
-	f.waiting = nil
-	if !stored {
-		// The way out when a fetch fails: the first that waits fetches in its place.
-		if len(waiting) > 0 {
-			f.leader, f.waiting = waiting[0], waiting[1:]
-			b.toOrigin(f.leader)
-		} else {
-			delete(b.fetches, o.key)
-		}
-		return
-	}
-	delete(b.fetches, o.key)
-	for _, w := range waiting {
-		w.fetch = nil
-		if o.missed != nil && b.host.Now() < w.aim && !slices.Contains(w.tried, o.missed) &&
-			b.allowed(w, o.missed, b.host.Now()) {
-			b.push(w, o.missed)
-		} else {
-			w.tried = nil
-			b.toCache(w)
+	if b.fetches[o.key] == o {
+		delete(b.fetches, o.key)
+		for _, w := range o.waits {
+			if !w.done {
+				w.tried = nil
+				b.toCache(w)
+			}
 		}
 	}
 }
