Spread a key that is hotter than its first cache's fair share

Cause: one key in ten of a small cache's ops fills it; the twice-mean pass acts only once it is far over, and a learned limit may turn its ops away before. Change: 64 fading counters; the first candidate is drawn among 1 + share / fair share candidates, three at most.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,6 +25,7 @@
 	quarters   = 5   // four quarters of the cold window, and the one begun
 	coldMargin = 0.6 // of the cold budget, left for chance and for works of unlike size
 	firstLimit = 6   // in flight, before anything is learned
+	hotKeys    = 64
 	retryShare = 0.2 // further pushes to first pushes
 	tokenTick  = 0
 	tokenWatch = 1
@@ -121,6 +122,7 @@
 	lane  float64 // share of a limit that it may fill
 	aim   Time    // the last moment at which an answer has its full benefit
 	most  int     // pushes it may have
+	heat  float64 // its key's share of traffic
 	n     int     // pushes made
 	out   []push
 	tried []*cache
@@ -179,12 +181,15 @@
 	retries  float64
 	rolled   Time
 	turn     int
+	hot      map[uint64]float64 // by key: asked lately
+	asked    float64
 	watchGap Time
 }
 
 // New starts a proxy; a list of kind ListCached is expected next.
 func New(s Settings, seed uint64, h Host) *Balancer {
 	b := &Balancer{Settings: s, host: h, rnd: pcg{seed}, caches: map[uint32]*cache{}, ops: map[uint32]*op{},
+		hot:     map[uint64]float64{},
 		fetches: map[uint64]*op{}, tries: make([]tryLength, len(s.Categories)), shortest: s.Categories[0].Target,
 		retries: 1 / retryShare}
 	for _, c := range s.Categories {
@@ -297,6 +302,7 @@
 		o.key = uint64(b.rnd.next())<<32 | uint64(b.rnd.next())
 	}
 	b.retries = min(b.retries+retryShare, 1/retryShare)
+	o.heat = b.heat(o.key)
 	if o.aim <= now {
 		b.giveUp(o)
 	} else if b.Aside && (write || b.fetches[o.key] != nil) {
@@ -306,6 +312,21 @@
 	}
 }
 
+// heat is a key's share of this proxy's late traffic, from a few counters that fade.
+func (b *Balancer) heat(key uint64) float64 {
+	b.asked++
+	if _, ok := b.hot[key]; ok || len(b.hot) < hotKeys {
+		b.hot[key]++
+		return b.hot[key] / max(b.asked, hotKeys)
+	}
+	for k := range b.hot { // all lose alike, so the map's order does not matter
+		if b.hot[k]--; b.hot[k] <= 0 {
+			delete(b.hot, k)
+		}
+	}
+	return 0
+}
+
 // share is the part of its capacity that a cache has surely reached.
 func (b *Balancer) share(c *cache, now Time) float64 {
 	start := max(c.Start, c.back)
@@ -375,14 +396,21 @@
 		total += c.out
 		weight += c.Weight
 	}
-	var seen []*cache
-	var least *cache // of those passed over
-	for salt := uint64(0); len(seen) < min(candidates, len(b.ranks)) && salt < 8*candidates; salt++ {
-		c := b.home(o.key, salt)
-		if slices.Contains(seen, c) {
-			continue
+	var choices []*cache
+	for salt := uint64(0); len(choices) < min(candidates, len(b.ranks)) && salt < 8*candidates; salt++ {
+		if c := b.home(o.key, salt); !slices.Contains(choices, c) {
+			choices = append(choices, c)
+		}
+	}
+	// A key that asks for more than its first cache's fair share is spread over the first few.
+	if len(choices) > 1 {
+		if n := min(1+int(o.heat*weight/choices[0].Weight), len(choices)); n > 1 {
+			first := int(b.rnd.next()) % n
+			choices[0], choices[first] = choices[first], choices[0]
 		}
-		seen = append(seen, c)
+	}
+	var least *cache // of those passed over
+	for _, c := range choices {
 		if !b.allowed(o, c, now) {
 			continue
 		}
@@ -698,6 +726,10 @@
 	roll := now >= b.rolled+b.TipAfter/(quarters-1)
 	if roll {
 		b.rolled = now
+		b.asked *= 0.95
+		for k := range b.hot {
+			b.hot[k] *= 0.95
+		}
 		if b.turn++; b.shadow != nil && b.turn%(2*quarters) == 0 {
 			b.kept = [2]map[uint64]bool{{}, b.kept[0]}
 		}
