--- a/policy/policy.go
+++ b/policy/policy.go
@@ -585,7 +585,7 @@
 		c.span.add(bits.Len(uint(taken / b.Tick)))
 		if taken > inTime {
 			b.cut(c, now, 0.9)
-		} else if float64(c.out+1) >= c.limit/2 && taken < inTime/2 {
+		} else if float64(c.out+1) >= c.limit/2 && (c == b.shadow || taken < inTime/2) {
 			c.limit += min(1/c.limit, c.limit/4)
 		}
 	case Full:
