--- a/policy/policy.go
+++ b/policy/policy.go
@@ -552,7 +552,7 @@
 	if b.shadow != nil && (missed || p.fetches && how == TimedOut) {
 		judged = b.shadow
 	}
-	b.learn(judged, how, taken, o.cat.Target/2)
+	b.learn(judged, how, taken, o.cat.Target/3)
 	switch {
 	case terminal || o.done:
 		b.finish(o)
@@ -584,7 +584,7 @@
 		c.rest = 0
 		c.span.add(bits.Len(uint(taken / b.Tick)))
 		if taken > inTime {
-			b.cut(c, now, 0.9)
+			b.cut(c, now, 0.95)
 		} else if float64(c.out+1) >= c.limit/2 && (c == b.shadow || taken < inTime/2) {
 			c.limit += min(1/c.limit, c.limit/4)
 		}
