--- a/policy/policy.go
+++ b/policy/policy.go
@@ -115,20 +115,21 @@
 }
 
 type op struct {
-	id    uint32
-	key   uint64
-	cat   *Category
-	write bool
-	lane  float64 // share of a limit that it may fill
-	aim   Time    // the last moment at which an answer has its full benefit
-	most  int     // pushes it may have
-	heat  float64 // its key's share of traffic
-	n     int     // pushes made
-	out   []push
-	tried []*cache
-	ran   *push // the first push that may have run
-	waits []*op // for this op's fetch of their key
-	done  bool
+	id     uint32
+	key    uint64
+	cat    *Category
+	write  bool
+	lane   float64 // share of a limit that it may fill
+	beyond float64 // benefit lost, being beyond its tenant's share
+	aim    Time    // the last moment at which an answer has its full benefit
+	most   int     // pushes it may have
+	heat   float64 // its key's share of traffic
+	n      int     // pushes made
+	out    []push
+	tried  []*cache
+	ran    *push // the first push that may have run
+	waits  []*op // for this op's fetch of their key
+	done   bool
 }
 
 type push struct {
@@ -295,7 +296,7 @@
 		if t := &b.tenants[account]; t.tokens >= 1 {
 			t.tokens--
 		} else {
-			o.lane *= 0.25 + 0.75*b.BeyondBenefit
+			o.beyond = 1 - b.BeyondBenefit
 		}
 	}
 	if key == 0 {
@@ -437,7 +438,7 @@
 	switch {
 	case c == nil && b.Aside && o.n == 0 && !o.write:
 		b.toOrigin(o)
-	case c == nil || !b.room(c, o.lane), b.mayFetch(o) && !b.room(b.shadow, o.lane):
+	case c == nil || !b.room(c, o), b.mayFetch(o) && !b.room(b.shadow, o):
 		b.giveUp(o)
 	default:
 		b.push(o, c)
@@ -446,8 +447,11 @@
 
 // room tells whether a cache's learned limit lets one more push in. Where even one push from every proxy is
 // too much, a limit under one paces: caches that go on with work that nobody waits for would stay jammed.
-func (b *Balancer) room(c *cache, lane float64) bool {
-	limit, idle := c.limit*lane, float64(b.host.Now()-c.sentAt)
+func (b *Balancer) room(c *cache, o *op) bool {
+	limit, idle := c.limit*o.lane, float64(b.host.Now()-c.sentAt)
+	if o.beyond > 0 { // the shorter the limit, the smaller their part of it
+		limit *= 1 - o.beyond*max(0.75, 1-limit/(4*firstLimit))
+	}
 	return float64(c.out) < limit && (limit >= 1 || idle > float64(b.shortest)/4*(1/limit-1))
 }
 
@@ -470,7 +474,7 @@
 		return
 	}
 	span := float64(b.origin.span.median() * b.Tick)
-	wait := span * float64(len(b.queue)) / b.origin.limit / o.lane
+	wait := span * float64(len(b.queue)) / b.origin.limit / (1 - 0.75*o.beyond)
 	if b.host.Now()+Time(wait+span) > o.aim && len(b.queue) > 0 {
 		b.giveUp(o)
 		return
@@ -480,7 +484,7 @@
 		b.fetches[o.key] = o
 	}
 	at := len(b.queue)
-	for at > 0 && b.queue[at-1].lane < o.lane {
+	for at > 0 && b.queue[at-1].lane-b.queue[at-1].beyond < o.lane-o.beyond {
 		at--
 	}
 	b.queue = slices.Insert(b.queue, at, o)
@@ -489,7 +493,7 @@
 
 // pump sends queued ops to the origin as its limit allows.
 func (b *Balancer) pump() {
-	for len(b.queue) > 0 && b.origin != nil && b.room(b.origin, 1) {
+	for len(b.queue) > 0 && b.origin != nil && float64(b.origin.out) < b.origin.limit {
 		o := b.queue[0]
 		b.queue = b.queue[1:]
 		if b.allowed(o, b.origin, b.host.Now()) {
