--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,7 +24,7 @@
 	candidates = 3   // caches that a key may go to on the ordinary path
 	quarters   = 5   // four quarters of the cold window, and the one begun
 	coldMargin = 0.6 // of the cold budget, left for chance and for works of unlike size
-	firstLimit = 6   // in flight, before anything is learned
+	firstLimit = 12  // in flight to one cache from all proxies, before anything is learned
 	hotKeys    = 64
 	retryShare = 0.2 // further pushes to first pushes
 	tokenTick  = 0
@@ -178,6 +178,7 @@
 	tenants  []tenant
 	tries    []tryLength // by category
 	benefit  float64     // the highest
+	first    float64     // limit, before anything is learned
 	shortest Time        // target latency
 	retries  float64
 	rolled   Time
@@ -192,7 +193,7 @@
 	b := &Balancer{Settings: s, host: h, rnd: pcg{seed}, caches: map[uint32]*cache{}, ops: map[uint32]*op{},
 		hot:     map[uint64]float64{},
 		fetches: map[uint64]*op{}, tries: make([]tryLength, len(s.Categories)), shortest: s.Categories[0].Target,
-		retries: 1 / retryShare}
+		retries: 1 / retryShare, first: firstLimit / float64(s.Proxies)}
 	for _, c := range s.Categories {
 		b.benefit = max(b.benefit, c.Benefit)
 		b.shortest = min(b.shortest, c.Target)
@@ -202,7 +203,7 @@
 		b.tenants = append(b.tenants, tenant{rate, rate})
 	}
 	if !s.Aside {
-		b.shadow = &cache{limit: 4 * firstLimit, shared: true}
+		b.shadow = &cache{limit: 4 * b.first, shared: true}
 		b.kept = [2]map[uint64]bool{{}, {}}
 	}
 	b.rolled = h.Now()
@@ -230,7 +231,7 @@
 	for _, e := range entries {
 		c := b.caches[e.ID]
 		if c == nil {
-			c = &cache{limit: firstLimit}
+			c = &cache{limit: b.first}
 			b.caches[e.ID] = c
 		}
 		if e.Start > c.Start {
@@ -450,7 +451,7 @@
 func (b *Balancer) room(c *cache, o *op) bool {
 	limit, idle := c.limit*o.lane, float64(b.host.Now()-c.sentAt)
 	if o.beyond > 0 { // the shorter the limit, the smaller their part of it
-		limit *= 1 - o.beyond*max(0.75, 1-limit/(4*firstLimit))
+		limit *= 1 - o.beyond*max(0.75, 1-limit/(4*b.first))
 	}
 	return float64(c.out) < limit && (limit >= 1 || idle > float64(b.shortest)/4*(1/limit-1))
 }
