All salts are one sequence: a key passes to where it lives without the cache

Cause (photos fleet growing from 31 to 104): keys passed over for the cold budget of a new cache went to candidates that had never held them, and a draining cache's keys moved twice. With one salt sequence the next choice is the key's place without that cache.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -378,17 +378,19 @@
 		o.cat.Group == GroupCell && c.Cell == o.ran.to.Cell
 }
 
-// home is the cache that a key and a salt map to; a missing rank is rehashed.
-func (b *Balancer) home(key, salt uint64) *cache {
-	for try := uint64(0); try < uint64(4*b.circle.m); try++ {
-		arc, _ := bits.Mul64(mix(key, salt<<32|try), uint64(b.circle.m))
+// choices are the caches that a key maps to in turn; a missing rank is rehashed. All salts are one sequence, so
+// that the next choice for a cache that is cold, drains or rests is where the key lived before that cache came,
+// or will live when it has gone, and the key moves once.
+func (b *Balancer) choices(key uint64) (choices []*cache) {
+	for salt := uint64(0); len(choices) < min(candidates, len(b.ranks)) && salt < uint64(8*b.circle.m); salt++ {
+		arc, _ := bits.Mul64(mix(key, salt), uint64(b.circle.m))
 		c := b.seats[b.circle.bucket(int(arc))]
 		// A small cache is passed over in proportion, by the key's hash, alike at every proxy.
-		if c != nil && float64(mix(key, ^(salt<<32|try))>>32) < c.Weight/b.heaviest*(1<<32) {
-			return c
+		if c != nil && !slices.Contains(choices, c) && float64(mix(key, ^salt)>>32) < c.Weight/b.heaviest*(1<<32) {
+			choices = append(choices, c)
 		}
 	}
-	return b.ranks[salt%uint64(len(b.ranks))]
+	return choices
 }
 
 // route picks a cache as the design page says.
@@ -398,12 +400,7 @@
 		total += c.out
 		weight += c.Weight
 	}
-	var choices []*cache
-	for salt := uint64(0); len(choices) < min(candidates, len(b.ranks)) && salt < 8*candidates; salt++ {
-		if c := b.home(o.key, salt); !slices.Contains(choices, c) {
-			choices = append(choices, c)
-		}
-	}
+	choices := b.choices(o.key)
 	// A key that asks for more than its first cache's fair share is spread over the first few.
 	if len(choices) > 1 {
 		if n := min(1+int(o.heat*weight/choices[0].Weight), len(choices)); n > 1 {
