--- a/policy/policy.go
+++ b/policy/policy.go
@@ -179,6 +179,7 @@
 	tries    []tryLength // by category
 	benefit  float64     // the highest
 	first    float64     // limit, before anything is learned
+	target   Time        // the usual one among pushes that end
 	shortest Time        // target latency
 	retries  float64
 	rolled   Time
@@ -197,6 +198,7 @@
 	for _, c := range s.Categories {
 		b.benefit = max(b.benefit, c.Benefit)
 		b.shortest = min(b.shortest, c.Target)
+		b.target += c.Target / Time(len(s.Categories))
 	}
 	for _, quota := range s.Quotas {
 		rate := quota / float64(s.Proxies)
@@ -554,7 +556,9 @@
 	if b.shadow != nil && (missed || p.fetches && how == TimedOut) {
 		judged = b.shadow
 	}
-	b.learn(judged, how, taken, o.cat.Target/3)
+	// One measure for all categories: the tightest one's would cut a cache for work that is naturally longer.
+	b.target += (o.cat.Target - b.target) / 64
+	b.learn(judged, how, taken, b.target/3)
 	switch {
 	case terminal || o.done:
 		b.finish(o)
