--- a/policy/policy.go
+++ b/policy/policy.go
@@ -676,7 +676,7 @@
 	if !safe {
 		b.host.DeadLetter(o.id)
 	} else {
-		back := b.rnd.between(o.cat.Target/4, o.cat.Target/2)
+		back := b.rnd.between(o.cat.Target/8, o.cat.Target/4)
 		if b.host.Now()+back >= o.aim {
 			back = b.MaxRetryAfter
 		}
