--- a/policy/policy.go
+++ b/policy/policy.go
@@ -4,12 +4,12 @@
 //
 // The design (docs/design.md) decides the ordinary path: round-mapping over ranked caches, salted candidates
 // and the twice-mean pass. Beside it stand six mechanisms at most:
-//  1. cold budget: what a young cache may be pushed in any window, as a ratio to what the fleet answers;
-//  2. health: a cache that can't be reached, or fails far more than the median, rests and is then probed;
-//  3. limits: in-flight limits for each cache and for the origin, learned from answers in time;
-//  4. shared fetches: misses of one key at this proxy wait for one fetch from the origin;
-//  5. lanes: ops beyond their tenant's share, or of small benefit, are turned away first;
-//  6. push allowance: further pushes by benefit, and as a bounded share of first pushes.
+//  1. seats: a cache keeps its bucket while others come and go; small caches are passed over by weight;
+//  2. hot keys: a key over its first cache's fair share is spread over its candidates;
+//  3. cold budget: what a young cache may be pushed in any window, as a ratio to what the fleet answers;
+//  4. health: a cache that can't be reached, or fails far more than the median, rests; then it is probed;
+//  5. limits: learned in-flight limits of the caches and of the origin, whose fetches are shared by key;
+//  6. benefit: ops beyond their tenant's share, or of small benefit, yield first and get fewer pushes.
 package policy
 
 import (
