Four fifths of the cold budget

Cause: rx deploys and crashes nacked ops for caches whose budget was out, while the rule was never nearer than a third. Since what the fleet answers stays under its capacity, four fifths of the multiple stays under the rule at any load.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,7 +23,7 @@
 	spareSeats = 256 // seats to s0, at the least: m then stands still while a fleet grows
 	candidates = 3   // caches that a key may go to on the ordinary path
 	quarters   = 5   // four quarters of the cold window, and the one begun
-	coldMargin = 0.6 // of the cold budget, left for chance and for works of unlike size
+	coldMargin = 0.8 // of the cold budget, left for chance and for works of unlike size
 	firstLimit = 12  // in flight to one cache from all proxies, before anything is learned
 	hotKeys    = 64
 	retryShare = 0.2 // further pushes to first pushes
