Ops beyond their share get a tenth of a limit

Cause: what tenants ask inside their shares is under half of the tile fleet's capacity, yet a third of it was nacked.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -449,8 +449,8 @@
 // too much, a limit under one paces: caches that go on with work that nobody waits for would stay jammed.
 func (b *Balancer) room(c *cache, o *op) bool {
 	limit, idle := c.limit*o.lane, float64(b.host.Now()-c.sentAt)
-	if o.beyond > 0 { // the shorter the limit, the smaller their part of it
-		limit *= 1 - o.beyond*max(0.75, 1-limit/(4*b.first))
+	if o.beyond > 0 {
+		limit *= 1 - 0.9*o.beyond
 	}
 	return float64(c.out) < limit && (limit >= 1 || idle > float64(b.shortest)/4*(1/limit-1))
 }
