The origin's shadow is cut by its own failures and grows on hits too

Changes: a cache that stands out against the median is judged for its own time-outs; pushes that turn out to be hits teach the shadow too.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -546,19 +546,29 @@
 	if p.fetches {
 		b.shadow.out--
 	}
+	if how == Acked || how == Miss {
+		c.good++
+		c.rest = 0
+	} else if how == TimedOut || how == Errored && !missed {
+		c.bad++
+	}
 	if how == Acked {
 		c.done[0]++
 		if b.shadow != nil {
 			b.kept[0][o.key] = true
 		}
 	}
-	// A cache whose fetch failed is not sick: the origin is, and another push would only fetch once more.
-	if b.shadow != nil && (missed || p.fetches && how == TimedOut) {
+	// A cache whose fetch failed is not sick: the origin is, and another push would only fetch once more. But
+	// time-outs at a cache that stands out are its own: they must not shut the origin for all keys.
+	if b.shadow != nil && (missed || p.fetches && how == TimedOut && !b.sick(c)) {
 		judged = b.shadow
 	}
 	// One measure for all categories: the tightest one's would cut a cache for work that is naturally longer.
 	b.target += (o.cat.Target - b.target) / 64
 	b.learn(judged, how, taken, b.target/3)
+	if p.fetches && how == Acked && !missed { // kept after all: the shadow must not learn from failures alone
+		b.learn(b.shadow, how, taken, b.target/3)
+	}
 	switch {
 	case terminal || o.done:
 		b.finish(o)
@@ -586,8 +596,6 @@
 	now := b.host.Now()
 	switch how {
 	case Acked, Miss:
-		c.good++
-		c.rest = 0
 		c.span.add(bits.Len(uint(taken / b.Tick)))
 		if taken > inTime {
 			b.cut(c, now, 0.95)
@@ -597,9 +605,8 @@
 	case Full:
 		b.cut(c, now, 0.8)
 	case TimedOut, Errored:
-		c.bad++
 		b.cut(c, now, 0.7)
-		if !c.shared && c.bad >= 3 && c.bad/(c.good+c.bad) > 2*b.medianBad()+0.25 {
+		if !c.shared && b.sick(c) {
 			b.suspend(c, now)
 		}
 	case ConnectFailed, Broken:
@@ -631,16 +638,14 @@
 	}
 }
 
-func (b *Balancer) medianBad() float64 {
+// sick tells whether a cache's share of failures stands out against the fleet's median.
+func (b *Balancer) sick(c *cache) bool {
 	var shares []float64
-	for _, c := range b.ranks {
-		shares = append(shares, c.bad/max(c.good+c.bad, 1))
+	for _, r := range b.ranks {
+		shares = append(shares, r.bad/max(r.good+r.bad, 1))
 	}
 	slices.Sort(shares)
-	if len(shares) == 0 {
-		return 0
-	}
-	return shares[len(shares)/2]
+	return c.bad >= 3 && len(shares) > 0 && c.bad/(c.good+c.bad) > 2*shares[len(shares)/2]+0.25
 }
 
 // ProbeReturned takes the result of a probe of a cache that could not be reached.
