--- a/policy/policy.go
+++ b/policy/policy.go
@@ -205,7 +205,7 @@
 		b.tenants = append(b.tenants, tenant{rate, rate})
 	}
 	if !s.Aside {
-		b.shadow = &cache{limit: 4 * b.first, shared: true}
+		b.shadow = &cache{shared: true}
 		b.kept = [2]map[uint64]bool{{}, {}}
 	}
 	b.rolled = h.Now()
@@ -255,6 +255,9 @@
 	slices.SortFunc(b.ranks, func(x, y *cache) int {
 		return cmp.Or(cmp.Compare(x.Start, y.Start), cmp.Compare(x.ID, y.ID))
 	})
+	if b.shadow != nil && b.shadow.cutAt == 0 {
+		b.shadow.limit = b.first * float64(len(b.ranks)) / 2
+	}
 	b.seat()
 	b.pump()
 }
