--- a/policy/policy.go
+++ b/policy/policy.go
@@ -602,7 +602,7 @@
 		c.span.add(bits.Len(uint(taken / b.Tick)))
 		if taken > inTime {
 			b.cut(c, now, 0.95)
-		} else if float64(c.out+1) >= c.limit/2 && (c == b.shadow || taken < inTime/2) {
+		} else if float64(c.out+1) >= c.limit/2 && (c == b.shadow || taken < inTime/3) {
 			c.limit += min(1/c.limit, c.limit/4)
 		}
 	case Full:
@@ -737,36 +737,33 @@
 		t := &b.tenants[i]
 		t.tokens = min(t.tokens+t.rate*float64(4*b.Tick)/10000, 2*t.rate)
 	}
-	roll := now >= b.rolled+b.TipAfter/(quarters-1)
-	if roll {
-		b.rolled = now
-		b.asked *= 0.95
-		for k := range b.hot {
-			b.hot[k] *= 0.95
-		}
-		if b.turn++; b.shadow != nil && b.turn%(2*quarters) == 0 {
-			b.kept = [2]map[uint64]bool{{}, b.kept[0]}
-		}
+	if now >= b.rolled+b.TipAfter/(quarters-1) {
+		b.roll(now)
 	}
 	for _, c := range b.ranks {
 		if c.fails > 0 && now >= c.restUntil && b.Probing {
 			b.suspend(c, now) // until the probe returns, or for good
 			b.host.Probe(c.ID)
 		}
-		if roll {
-			b.roll(c)
-		}
-	}
-	if roll && b.origin != nil {
-		b.roll(b.origin)
 	}
 	b.pump()
 }
 
-func (b *Balancer) roll(c *cache) {
-	copy(c.sent[1:], c.sent[:quarters-1])
-	copy(c.done[1:], c.done[:quarters-1])
-	c.sent[0], c.done[0] = 0, 0
-	c.good, c.bad = c.good*0.8, c.bad*0.8
-	c.span.halve()
+// roll lets a quarter of the cold window pass; no map's order matters here.
+func (b *Balancer) roll(now Time) {
+	b.rolled = now
+	b.asked *= 0.95
+	for k := range b.hot {
+		b.hot[k] *= 0.95
+	}
+	if b.turn++; b.shadow != nil && b.turn%(2*quarters) == 0 {
+		b.kept = [2]map[uint64]bool{{}, b.kept[0]}
+	}
+	for _, c := range b.caches {
+		copy(c.sent[1:], c.sent[:quarters-1])
+		copy(c.done[1:], c.done[:quarters-1])
+		c.sent[0], c.done[0] = 0, 0
+		c.good, c.bad = c.good*0.8, c.bad*0.8
+		c.span.halve()
+	}
 }
