--- a/policy/policy.go
+++ b/policy/policy.go
@@ -602,7 +602,7 @@
 		c.span.add(bits.Len(uint(taken / b.Tick)))
 		if taken > inTime {
 			b.cut(c, now, 0.95)
-		} else if float64(c.out+1) >= c.limit/2 && (c == b.shadow || taken < inTime/3) {
+		} else if float64(c.out+1) >= c.limit/2 && (c.shared || taken < inTime/3) {
 			c.limit += min(1/c.limit, c.limit/4)
 		}
 	case Full:
