--- a/policy/policy.go
+++ b/policy/policy.go
@@ -26,6 +26,7 @@
 	coldMargin = 0.8 // of the cold budget, left for chance and for works of unlike size
 	firstLimit = 12  // in flight to one cache from all proxies, before anything is learned
 	hotKeys    = 64
+	shortShare = 200 // the fleet is short when one push in so many goes unanswered
 	retryShare = 0.2 // further pushes to first pushes
 	tokenTick  = 0
 	tokenWatch = 1
@@ -79,13 +80,6 @@
 // hist counts spans in bins that double, from a tick up.
 type hist [12]float64
 
-func (h *hist) add(bin int) { h[min(bin, len(h)-1)]++ }
-func (h *hist) halve() {
-	for i := range h {
-		h[i] /= 2
-	}
-}
-
 // median is the upper edge of the middle bin, in units of the first.
 func (h *hist) median() Time {
 	var sum, half float64
@@ -184,6 +178,7 @@
 	retries  float64
 	rolled   Time
 	turn     int
+	short    bool               // of capacity
 	hot      map[uint64]float64 // by key: asked lately
 	asked    float64
 	watchGap Time
@@ -452,7 +447,7 @@
 // too much, a limit under one paces: caches that go on with work that nobody waits for would stay jammed.
 func (b *Balancer) room(c *cache, o *op) bool {
 	limit, idle := c.limit*o.lane, float64(b.host.Now()-c.sentAt)
-	if o.beyond > 0 {
+	if b.short {
 		limit *= 1 - 0.9*o.beyond
 	}
 	return float64(c.out) < limit && (limit >= 1 || idle > float64(b.shortest)/4*(1/limit-1))
@@ -599,7 +594,7 @@
 	now := b.host.Now()
 	switch how {
 	case Acked, Miss:
-		c.span.add(bits.Len(uint(taken / b.Tick)))
+		c.span[min(bits.Len(uint(taken/b.Tick)), len(c.span)-1)]++
 		if taken > inTime {
 			b.cut(c, now, 0.95)
 		} else if float64(c.out+1) >= c.limit/2 && (c.shared || taken < inTime/3) {
@@ -632,8 +627,8 @@
 	}
 }
 
-// suspend rests a cache, longer each time until it answers: short rests alone would feed a cache that stands
-// still a steady share of ops. Its limit, cut by the failures, keeps the return careful.
+// suspend rests a cache, longer each time until it answers, lest one that stands still is fed a steady share
+// of ops. Its limit, cut by the failures, keeps the return careful.
 func (b *Balancer) suspend(c *cache, now Time) {
 	if now >= c.restUntil {
 		c.rest = min(max(2*c.rest, b.shortest), 16*b.shortest)
@@ -733,9 +728,8 @@
 func (b *Balancer) tick() {
 	now := b.host.Now()
 	b.host.Timer(tokenTick, 4*b.Tick)
-	for i := range b.tenants {
-		t := &b.tenants[i]
-		t.tokens = min(t.tokens+t.rate*float64(4*b.Tick)/10000, 2*t.rate)
+	for i, t := range b.tenants {
+		b.tenants[i].tokens = min(t.tokens+t.rate*float64(4*b.Tick)/10000, 2*t.rate)
 	}
 	if now >= b.rolled+b.TipAfter/(quarters-1) {
 		b.roll(now)
@@ -759,11 +753,16 @@
 	if b.turn++; b.shadow != nil && b.turn%(2*quarters) == 0 {
 		b.kept = [2]map[uint64]bool{{}, b.kept[0]}
 	}
+	good, bad := 0.0, 0.0
 	for _, c := range b.caches {
 		copy(c.sent[1:], c.sent[:quarters-1])
 		copy(c.done[1:], c.done[:quarters-1])
 		c.sent[0], c.done[0] = 0, 0
 		c.good, c.bad = c.good*0.8, c.bad*0.8
-		c.span.halve()
+		for i := range c.span {
+			c.span[i] /= 2
+		}
+		good, bad = good+c.good, bad+c.bad
 	}
+	b.short = bad > good/shortShare
 }
