--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -132,7 +132,6 @@
 	return v
 }
 
-// options reads words such as zone=2 into figures; a bare word is 1.
 func options(t *testing.T, words []string) map[string]float64 {
 	o := map[string]float64{}
 	for _, word := range words {
