--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -35,6 +35,7 @@
 		Cancelling    bool   `json:"cancelling"`
 		MaxRetryAfter uint64 `json:"max-retry-after-us"`
 		MostPushes    int    `json:"most-pushes"`
+		Peers         bool   `json:"peers"`
 		Probing       bool   `json:"probing"`
 		RetryAfter    bool   `json:"retry-after"`
 	} `json:"limits"`
@@ -66,7 +67,7 @@
 		ColdFrom: c.Contract.ColdFrom, WarmUp: down(c.Contract.WarmUp + 99),
 		FallMultiple: c.Contract.FallMultiple, TipAfter: down(c.Contract.TipAfter + 99),
 		Tick: max(down(c.Tick+99), 1), MostPushes: max(c.Limits.MostPushes, 1),
-		Cancelling: c.Limits.Cancelling, Probing: c.Limits.Probing,
+		Cancelling: c.Limits.Cancelling, Probing: c.Limits.Probing, Peers: c.Limits.Peers,
 	}
 	if c.FamilyInfo.OriginKind != nil {
 		s.OriginKind = *c.FamilyInfo.OriginKind
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -133,10 +133,13 @@
 	switch code {
 	case 1:
 		r.u16()
-		r.take(int(r.u16()))
+		news := r.take(int(r.u16()))
 		if r.short {
 			return cut()
 		}
+		if in.proxy != nil {
+			in.proxy.PeerSaid(news)
+		}
 	case 2:
 		tid := r.u32()
 		r.take(9)
@@ -273,6 +276,10 @@
 	b = binary.LittleEndian.AppendUint64(b, uint64(max(until, 0))*100)
 	in.w.out = binary.LittleEndian.AppendUint32(b, cache)
 }
+func (in *instance) Tell(news []byte) {
+	b := binary.LittleEndian.AppendUint32(in.begin(2), math.MaxUint32)
+	in.w.out = append(binary.LittleEndian.AppendUint16(b, uint16(len(news))), news...)
+}
 func (in *instance) Watch(on bool) {
 	b := in.begin(3)
 	if on {
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -12,7 +12,6 @@
 	"cold-from": 0.5}, "family-info": {"mode": "through", "origin-kind": -1}, "limits": {"most-pushes": 3,
 	"retry-after": true, "max-retry-after-us": 1000000}, "tick-us": 5000, "unheard-of": {"x": 1}}`
 
-// record packs a code and its fields: sized integers, and strings as they are.
 func record(fields ...any) []byte {
 	var b bytes.Buffer
 	for _, f := range fields {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,7 +1,6 @@
 // Package policy makes all decisions of one minttray proxy. Call New with the settings, a seed and a Host
 // (types.go), then one method for each thing that happens: OpArrived, PushEnded, StreamBegan, ClientLeft,
-// ListArrived, ProbeReturned, TimerDue. The module acts by calling the Host from inside them.
-//
+// ListArrived, ProbeReturned, PeerSaid, TimerDue. The module acts by calling the Host from inside them.
 // The design (docs/design.md) decides the ordinary path: round-mapping over ranked caches, salted candidates
 // and the twice-mean pass. Beside it stand six mechanisms at most:
 //  1. seats: a cache keeps its bucket while others come and go; small caches are passed over by weight;
@@ -14,6 +13,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"math/bits"
 	"slices"
 )
@@ -26,8 +26,9 @@
 	coldMargin = 0.8 // of the cold budget, left for chance and for works of unlike size
 	firstLimit = 12  // in flight to one cache from all proxies, before anything is learned
 	hotKeys    = 64
-	shortShare = 200 // the fleet is short when one push in so many goes unanswered
-	retryShare = 0.2 // further pushes to first pushes
+	mostNews   = 32 * 8 // bytes in one message
+	shortShare = 200    // the fleet is short when one push in so many goes unanswered
+	retryShare = 0.2    // further pushes to first pushes
 	tokenTick  = 0
 	tokenWatch = 1
 	tokenOp    = 2 // and up: the op's id
@@ -109,21 +110,20 @@
 }
 
 type op struct {
-	id     uint32
-	key    uint64
-	cat    *Category
-	write  bool
-	lane   float64 // share of a limit that it may fill
-	beyond float64 // benefit lost, being beyond its tenant's share
-	aim    Time    // the last moment at which an answer has its full benefit
-	most   int     // pushes it may have
-	heat   float64 // its key's share of traffic
-	n      int     // pushes made
-	out    []push
-	tried  []*cache
-	ran    *push // the first push that may have run
-	waits  []*op // for this op's fetch of their key
-	done   bool
+	id      uint32
+	key     uint64
+	cat     *Category
+	write   bool
+	lane    float64 // share of a limit that it may fill
+	beyond  float64 // benefit lost, being beyond its tenant's share
+	heat    float64 // its key's share of traffic
+	aim     Time    // the last moment at which an answer has its full benefit
+	most, n int     // pushes it may have, and has had
+	out     []push
+	tried   []*cache
+	ran     *push // the first push that may have run
+	waits   []*op // for this op's fetch of their key
+	done    bool
 }
 
 type push struct {
@@ -156,40 +156,35 @@
 
 type Balancer struct {
 	Settings
-	host     Host
-	rnd      pcg
-	caches   map[uint32]*cache
-	ranks    []*cache // listed, by start time, then id
-	seats    []*cache // by bucket; nil: free
-	circle   circle
-	heaviest float64
-	origin   *cache
-	shadow   *cache             // the origin where caches fetch for themselves: pushes that may fetch
-	kept     [2]map[uint64]bool // keys answered lately, so likely kept
-	ops      map[uint32]*op
-	fetches  map[uint64]*op // by key: the op whose fetch is out or queued
-	queue    []*op          // for the origin
-	tenants  []tenant
-	tries    []tryLength // by category
-	benefit  float64     // the highest
-	first    float64     // limit, before anything is learned
-	target   Time        // the usual one among pushes that end
-	shortest Time        // target latency
-	retries  float64
-	rolled   Time
-	turn     int
-	short    bool               // of capacity
-	hot      map[uint64]float64 // by key: asked lately
-	asked    float64
-	watchGap Time
+	host             Host
+	rnd              pcg
+	caches           map[uint32]*cache
+	ranks            []*cache // listed, by start time, then id
+	seats            []*cache // by bucket; nil: free
+	circle           circle
+	origin, shadow   *cache             // shadow: the origin, as pushes that may fetch show it
+	kept             [2]map[uint64]bool // keys answered lately, so likely kept
+	news             []byte             // of such keys, for the peers
+	ops              map[uint32]*op
+	fetches          map[uint64]*op // by key: the op whose fetch is out or queued
+	queue            []*op          // for the origin
+	tenants          []tenant
+	tries            []tryLength        // by category
+	hot              map[uint64]float64 // by key: asked lately
+	asked, retries   float64
+	benefit          float64 // the highest
+	heaviest, first  float64 // weight; limit before anything is learned
+	target, shortest Time    // target latency: the usual one among pushes that end; the shortest
+	rolled           Time
+	turn             int
+	short            bool // of capacity
 }
 
 // New starts a proxy; a list of kind ListCached is expected next.
 func New(s Settings, seed uint64, h Host) *Balancer {
 	b := &Balancer{Settings: s, host: h, rnd: pcg{seed}, caches: map[uint32]*cache{}, ops: map[uint32]*op{},
-		hot:     map[uint64]float64{},
-		fetches: map[uint64]*op{}, tries: make([]tryLength, len(s.Categories)), shortest: s.Categories[0].Target,
-		retries: 1 / retryShare, first: firstLimit / float64(s.Proxies)}
+		hot: map[uint64]float64{}, fetches: map[uint64]*op{}, tries: make([]tryLength, len(s.Categories)),
+		shortest: s.Categories[0].Target, retries: 1 / retryShare, first: firstLimit / float64(s.Proxies)}
 	for _, c := range s.Categories {
 		b.benefit = max(b.benefit, c.Benefit)
 		b.shortest = min(b.shortest, c.Target)
@@ -214,12 +209,10 @@
 // ListArrived takes the whole list, changes to it, or word that a call to the list failed.
 func (b *Balancer) ListArrived(kind ListKind, entries []Entry) {
 	if kind == ListFailed {
-		// Asking again at once from every proxy would bury the list service: the wait doubles, with chance.
-		b.watchGap = min(max(2*b.watchGap, b.AskEvery/16), b.AskEvery/2)
-		b.host.Timer(tokenWatch, b.rnd.between(b.watchGap/2, b.watchGap))
+		// Asking again at once from every proxy would bury the list service.
+		b.host.Timer(tokenWatch, b.rnd.between(b.AskEvery/16, b.AskEvery/3))
 		return
 	}
-	b.watchGap = 0
 	if kind != ListDelta {
 		for _, c := range b.caches {
 			c.listed = false
@@ -378,9 +371,8 @@
 		o.cat.Group == GroupCell && c.Cell == o.ran.to.Cell
 }
 
-// choices are the caches that a key maps to in turn; a missing rank is rehashed. All salts are one sequence, so
-// that the next choice for a cache that is cold, drains or rests is where the key lived before that cache came,
-// or will live when it has gone, and the key moves once.
+// choices are the caches that a key maps to in turn; a missing rank is rehashed. All salts are one sequence:
+// the next choice is where the key lives without the first, so that it moves once when a cache comes or goes.
 func (b *Balancer) choices(key uint64) (choices []*cache) {
 	for salt := uint64(0); len(choices) < min(candidates, len(b.ranks)) && salt < uint64(8*b.circle.m); salt++ {
 		arc, _ := bits.Mul64(mix(key, salt), uint64(b.circle.m))
@@ -408,24 +400,19 @@
 			choices[0], choices[first] = choices[first], choices[0]
 		}
 	}
-	var least *cache // of those passed over
 	for _, c := range choices {
-		if !b.allowed(o, c, now) {
-			continue
-		}
 		mean := float64(total) * c.Weight / weight // in proportion to its size
-		if float64(c.out) <= max(2*mean, mean+2) {
+		if b.allowed(o, c, now) && float64(c.out) <= max(2*mean, mean+2) {
 			return c
 		}
-		if least == nil || c.out < least.out {
-			least = c
-		}
 	}
-	if least == nil { // no candidate is ready: any ready cache
-		for _, c := range b.ranks {
-			if b.allowed(o, c, now) && (least == nil || c.out < least.out) {
-				least = c
-			}
+	var least *cache // of the candidates, or of all if no candidate is ready
+	for i, c := range append(choices, b.ranks...) {
+		if i == len(choices) && least != nil {
+			break
+		}
+		if b.allowed(o, c, now) && (least == nil || c.out < least.out) {
+			least = c
 		}
 	}
 	return least
@@ -468,7 +455,7 @@
 	}
 	if f := b.fetches[o.key]; !o.write && f != nil && f != o {
 		f.waits = append(f.waits, o)
-		b.hold(o)
+		b.host.Timer(tokenOp+uint64(o.id), o.aim-b.host.Now()) // held until then at most
 		return
 	}
 	span := float64(b.origin.span.median() * b.Tick)
@@ -477,7 +464,7 @@
 		b.giveUp(o)
 		return
 	}
-	b.hold(o)
+	b.host.Timer(tokenOp+uint64(o.id), o.aim-b.host.Now()) // held until then at most
 	if !o.write {
 		b.fetches[o.key] = o
 	}
@@ -502,11 +489,6 @@
 	}
 }
 
-// hold keeps an op with nothing out until its target latency, at most.
-func (b *Balancer) hold(o *op) {
-	b.host.Timer(tokenOp+uint64(o.id), o.aim-b.host.Now())
-}
-
 func (b *Balancer) push(o *op, c *cache) {
 	now := b.host.Now()
 	o.out = append(o.out, push{o.n, c, now, b.mayFetch(o)})
@@ -526,11 +508,10 @@
 // PushEnded takes a push's one outcome: missed says that the cache had to fetch, terminal that nothing more
 // is owed for the op.
 func (b *Balancer) PushEnded(id uint32, n int, how Outcome, missed, terminal bool, taken Time) {
-	o := b.ops[id]
-	if o == nil {
-		return
+	o, i := b.ops[id], -1
+	if o != nil {
+		i = slices.IndexFunc(o.out, func(p push) bool { return p.n == n })
 	}
-	i := slices.IndexFunc(o.out, func(p push) bool { return p.n == n })
 	if i < 0 {
 		return
 	}
@@ -552,8 +533,10 @@
 	}
 	if how == Acked {
 		c.done[0]++
-		if b.shadow != nil {
+		if b.shadow != nil && !b.kept[0][o.key] {
 			b.kept[0][o.key] = true
+			b.news = binary.LittleEndian.AppendUint64(b.news, o.key)
+			b.tell(mostNews)
 		}
 	}
 	// A cache whose fetch failed is not sick: the origin is, and another push would only fetch once more. But
@@ -561,7 +544,7 @@
 	if b.shadow != nil && (missed || p.fetches && how == TimedOut && !b.sick(c)) {
 		judged = b.shadow
 	}
-	// One measure for all categories: the tightest one's would cut a cache for work that is naturally longer.
+	// One measure for all: the tightest category's would cut a cache for work that is naturally longer.
 	b.target += (o.cat.Target - b.target) / 64
 	b.learn(judged, how, taken, b.target/3)
 	if p.fetches && how == Acked && !missed { // kept after all: the shadow must not learn from failures alone
@@ -658,7 +641,24 @@
 	c.fails, c.rest, c.restUntil = 0, 0, 0
 }
 
-// StreamBegan: the push's answer is with the client; its outcome will be terminal.
+// tell lets the peers know which keys are kept, once there is so much news: a proxy that is new, or sees a
+// small part of the traffic, would else take most keys for such that a cache must fetch.
+func (b *Balancer) tell(least int) {
+	if len(b.news) >= least {
+		if b.Peers {
+			b.host.Tell(b.news)
+		}
+		b.news = nil
+	}
+}
+
+func (b *Balancer) PeerSaid(news []byte) {
+	for ; b.shadow != nil && len(news) >= 8; news = news[8:] {
+		b.kept[0][binary.LittleEndian.Uint64(news)] = true
+	}
+}
+
+// StreamBegan: the answer is with the client; its outcome will be terminal.
 func (b *Balancer) StreamBegan(id uint32) {
 	if o := b.ops[id]; o != nil {
 		o.most = 0
@@ -746,6 +746,7 @@
 // roll lets a quarter of the cold window pass; no map's order matters here.
 func (b *Balancer) roll(now Time) {
 	b.rolled = now
+	b.tell(1)
 	b.asked *= 0.95
 	for k := range b.hot {
 		b.hot[k] *= 0.95
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -11,7 +12,6 @@
 	"testing"
 )
 
-// grow adds buckets one by one as section 2 of the paper tells it and returns the bucket of each arc.
 func grow(s0, m int) []int {
 	long, short, s := []int{}, []int{}, s0
 	for n := 0; n < s0; n++ {
@@ -99,6 +99,7 @@
 func (w *world) DeadLetter(op uint32)           { w.say("dead", op) }
 func (w *world) Timer(token uint64, after Time) { w.after(after, func() { w.b.TimerDue(token) }) }
 func (w *world) Probe(cache uint32)             { w.say("probe", cache) }
+func (w *world) Tell(news []byte)               { w.say("tell", len(news)) }
 func (w *world) Watch(on bool)                  { w.say("watch", on) }
 
 func (w *world) run(to Time) {
@@ -238,6 +239,8 @@
 			o["final"] > 0 || rest[2] == "acked", Time(10*o["taken"]))
 	case "auto":
 		w.auto[cmp.Or(w.names[rest[0]], rest[0])] = answer{rest[1], Time(10 * number(t, rest[2]))}
+	case "peer":
+		w.b.PeerSaid(binary.LittleEndian.AppendUint64(nil, uint64(number(t, rest[0]))))
 	case "leaves":
 		w.b.ClientLeft(uint32(number(t, rest[0])))
 	case "probed":
--- a/policy/types.go
+++ b/policy/types.go
@@ -93,6 +93,7 @@
 	MostPushes    int
 	Cancelling    bool
 	Probing       bool
+	Peers         bool
 }
 
 // Host is how the module acts. Calls take effect in the order made.
@@ -104,5 +105,6 @@
 	DeadLetter(op uint32)
 	Timer(token uint64, after Time)
 	Probe(cache uint32)
+	Tell(news []byte) // to all peers, 256 bytes at most
 	Watch(on bool)
 }
