--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -305,3 +305,7 @@
 func (in *instance) Probe(cache uint32) {
 	in.w.out = binary.LittleEndian.AppendUint32(in.begin(9), cache)
 }
+func (in *instance) Close(cache uint32) {
+	in.w.out = binary.LittleEndian.AppendUint32(in.begin(11), cache)
+}
+func (in *instance) Log(s string) { in.w.out = text(append(in.w.out, 10), in.id, s) }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,9 +29,8 @@
 	mostNews   = 32 * 8 // bytes in one message
 	shortShare = 200    // the fleet is short when one push in so many goes unanswered
 	retryShare = 0.2    // further pushes to first pushes
-	tokenTick  = 0
-	tokenWatch = 1
-	tokenOp    = 2 // and up: the op's id
+
+	tokenTick, tokenWatch, tokenOp = 0, 1, 2 // tokenOp and up: the op's id
 )
 
 type pcg struct{ state uint64 }
@@ -133,8 +132,7 @@
 	fetches bool // its key is not known to be kept
 }
 
-// tryLength is how long a client waits for a first try, found by majority vote: first tries are the most.
-// Later tries may be longer or shorter, and must not be taken for the measure.
+// tryLength is a client's first try, by majority vote: later ones are longer or shorter.
 type tryLength struct {
 	span  Time
 	votes int
@@ -228,7 +226,9 @@
 			c.restUntil, c.rest, c.fails, c.bad = 0, 0, 0, 0 // a new process: old failures say nothing of it
 		}
 		e.Start = max(e.Start, c.Start)
-		c.Entry, c.listed = e, e.State != Gone
+		if c.Entry, c.listed = e, e.State != Gone; !c.listed {
+			b.host.Close(e.ID)
+		}
 	}
 	b.ranks, b.origin = b.ranks[:0], nil
 	for _, c := range b.caches {
@@ -446,8 +446,7 @@
 	return b.shadow != nil && (o.write || !b.kept[0][o.key] && !b.kept[1][o.key])
 }
 
-// toOrigin queues an op for the origin, if an answer in time can be hoped for. A read whose key this proxy
-// fetches already waits for that fetch instead, and then goes to the caches again.
+// toOrigin queues an op for the origin; a read whose key is being fetched waits, then asks the caches again.
 func (b *Balancer) toOrigin(o *op) {
 	if b.origin == nil {
 		b.giveUp(o)
@@ -505,8 +504,7 @@
 	b.host.Push(o.id, c.ID, o.aim)
 }
 
-// PushEnded takes a push's one outcome: missed says that the cache had to fetch, terminal that nothing more
-// is owed for the op.
+// PushEnded takes a push's one outcome; missed: the cache had to fetch; terminal: nothing more is owed.
 func (b *Balancer) PushEnded(id uint32, n int, how Outcome, missed, terminal bool, taken Time) {
 	o, i := b.ops[id], -1
 	if o != nil {
@@ -641,8 +639,7 @@
 	c.fails, c.rest, c.restUntil = 0, 0, 0
 }
 
-// tell lets the peers know which keys are kept, once there is so much news: a proxy that is new, or sees a
-// small part of the traffic, would else take most keys for such that a cache must fetch.
+// tell gives the peers news of kept keys: a proxy that is new would else fear a fetch for most keys.
 func (b *Balancer) tell(least int) {
 	if len(b.news) >= least {
 		if b.Peers {
@@ -765,5 +762,8 @@
 		}
 		good, bad = good+c.good, bad+c.bad
 	}
-	b.short = bad > good/shortShare
+	if short := bad > good/shortShare; short != b.short {
+		b.short = short
+		b.host.Log(map[bool]string{true: "short of capacity", false: "no longer short of capacity"}[short])
+	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -100,6 +100,8 @@
 func (w *world) Timer(token uint64, after Time) { w.after(after, func() { w.b.TimerDue(token) }) }
 func (w *world) Probe(cache uint32)             { w.say("probe", cache) }
 func (w *world) Tell(news []byte)               { w.say("tell", len(news)) }
+func (w *world) Close(cache uint32)             {}
+func (w *world) Log(text string)                {}
 func (w *world) Watch(on bool)                  { w.say("watch", on) }
 
 func (w *world) run(to Time) {
--- a/policy/types.go
+++ b/policy/types.go
@@ -107,4 +107,6 @@
 	Probe(cache uint32)
 	Tell(news []byte) // to all peers, 256 bytes at most
 	Watch(on bool)
+	Close(cache uint32) // idle connections to it
+	Log(text string)
 }
