Cold budgets under one push are drawn by chance for each window

Cause: each of hundreds of proxies might push one op a window at every cold cache; the sum was 6.4 times what it could do.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,7 +28,6 @@
 	hotKeys    = 64
 	mostNews   = 32 * 8 // bytes in one message
 	shortShare = 200    // the fleet is short when one push in so many goes unanswered
-	retryShare = 0.2    // further pushes to first pushes
 
 	tokenTick, tokenWatch, tokenOp = 0, 1, 2 // tokenOp and up: the op's id
 )
@@ -169,20 +168,21 @@
 	tenants          []tenant
 	tries            []tryLength        // by category
 	hot              map[uint64]float64 // by key: asked lately
-	asked, retries   float64
+	asked            float64
 	benefit          float64 // the highest
 	heaviest, first  float64 // weight; limit before anything is learned
 	target, shortest Time    // target latency: the usual one among pushes that end; the shortest
 	rolled           Time
 	turn             int
-	short            bool // of capacity
+	short            bool    // of capacity
+	luck             float64 // below 1, drawn for each cold window
 }
 
 // New starts a proxy; a list of kind ListCached is expected next.
 func New(s Settings, seed uint64, h Host) *Balancer {
 	b := &Balancer{Settings: s, host: h, rnd: pcg{seed}, caches: map[uint32]*cache{}, ops: map[uint32]*op{},
 		hot: map[uint64]float64{}, fetches: map[uint64]*op{}, tries: make([]tryLength, len(s.Categories)),
-		shortest: s.Categories[0].Target, retries: 1 / retryShare, first: firstLimit / float64(s.Proxies)}
+		shortest: s.Categories[0].Target, first: firstLimit / float64(s.Proxies)}
 	for _, c := range s.Categories {
 		b.benefit = max(b.benefit, c.Benefit)
 		b.shortest = min(b.shortest, c.Target)
@@ -296,7 +296,6 @@
 	if key == 0 {
 		o.key = uint64(b.rnd.next())<<32 | uint64(b.rnd.next())
 	}
-	b.retries = min(b.retries+retryShare, 1/retryShare)
 	o.heat = b.heat(o.key)
 	if o.aim <= now {
 		b.giveUp(o)
@@ -348,8 +347,10 @@
 	for _, n := range c.sent {
 		sent += n
 	}
-	budget := coldMargin * b.FallMultiple * share * c.Weight * float64(done) / capacity
-	return float64(sent+1) <= max(budget, 1)
+	// Less than one push is drawn by chance for each window, so that the sum holds for any number of proxies.
+	// Without history, as after a bulk restart, all of them together may try about one.
+	budget := coldMargin * b.FallMultiple * share * max(c.Weight*float64(done)/capacity, 1/float64(b.Proxies))
+	return float64(sent+1) <= budget+b.luck
 }
 
 // allowed tells whether the rules and the cache's state let this op go there now.
@@ -554,11 +555,10 @@
 	case len(o.out) > 0:
 	case how == Miss && b.Aside && o.n < b.MostPushes:
 		b.toOrigin(o)
-	case missed && how == Errored || b.host.Now() >= o.aim || o.n >= o.most || b.retries < 1 ||
+	case missed && how == Errored || b.host.Now() >= o.aim || o.n >= o.most ||
 		o.ran != nil && o.cat.Effect == AtMostOnce:
 		b.giveUp(o)
 	default:
-		b.retries--
 		if c == b.origin {
 			b.toOrigin(o)
 		} else {
@@ -748,6 +748,9 @@
 	for k := range b.hot {
 		b.hot[k] *= 0.95
 	}
+	if b.turn%quarters == 0 {
+		b.luck = float64(b.rnd.next()) / (1 << 32)
+	}
 	if b.turn++; b.shadow != nil && b.turn%(2*quarters) == 0 {
 		b.kept = [2]map[uint64]bool{{}, b.kept[0]}
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -48,6 +48,7 @@
 // world plays a scenario: it is the module's host, and answers pushes by itself where told to.
 type world struct {
 	t      *testing.T
+	seed   uint64
 	s      Settings
 	b      *Balancer
 	now    Time
@@ -57,6 +58,8 @@
 	pushes map[uint32]int
 	names  map[string]string
 	auto   map[string]answer // by cache, or *
+	totals map[string]int
+	last   bool
 }
 
 type answer struct {
@@ -211,7 +214,7 @@
 	case "tenant":
 		w.s.Quotas = append(w.s.Quotas, number(t, rest[0]))
 	case "start":
-		w.b = New(w.s, 7, w)
+		w.b = New(w.s, w.seed, w)
 	case "list":
 		var entries []Entry
 		for _, word := range rest[1:] {
@@ -257,6 +260,13 @@
 		}
 	case "forget":
 		w.log, w.counts = nil, map[string]int{}
+	case "total": // over all times that the chapter is played
+		what := strings.Join(rest[:len(rest)-4], " ")
+		if w.totals[what] += w.counts[what]; !w.last {
+			return nil
+		}
+		w.counts[what] = w.totals[what]
+		return w.step(append([]string{"count"}, rest...))
 	case "count": // count push 3 from 1 to 10
 		what := strings.Join(rest[:len(rest)-4], " ")
 		if name := w.names[rest[len(rest)-5]]; name != "" {
@@ -286,13 +296,19 @@
 		for _, chapter := range parts[1:] {
 			name, steps, _ := strings.Cut(chapter, "\n")
 			t.Run(filepath.Base(file)+"/"+name, func(t *testing.T) {
-				w := &world{t: t, now: 1000, counts: map[string]int{}, pushes: map[uint32]int{},
-					names: map[string]string{}, auto: map[string]answer{}}
-				for _, line := range strings.Split(parts[0]+"\n"+steps, "\n") {
-					line, _, _ = strings.Cut(line, "#")
-					if words := strings.Fields(line); len(words) > 0 {
-						if err := w.step(words); err != nil {
-							t.Fatalf("%s: %v", line, err)
+				times, totals := 1, map[string]int{} // a chapter "... times 100" is played by 100 proxies
+				if _, n, ok := strings.Cut(name, " times "); ok {
+					times = int(number(t, n))
+				}
+				for i := range times {
+					w := &world{t: t, now: 1000, seed: 7 + uint64(i)<<32, counts: map[string]int{}, pushes: map[uint32]int{},
+						names: map[string]string{}, auto: map[string]answer{}, totals: totals, last: i == times-1}
+					for _, line := range strings.Split(parts[0]+"\n"+steps, "\n") {
+						line, _, _ = strings.Cut(line, "#")
+						if words := strings.Fields(line); len(words) > 0 {
+							if err := w.step(words); err != nil {
+								t.Fatalf("%s: %v", line, err)
+							}
 						}
 					}
 				}
