A tenant's bucket is at least four ops deep

Cause: a share split among hundreds of proxies gave a bucket of under one op, so all ops counted as beyond their share.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,15 +19,16 @@
 )
 
 const (
-	slack      = 4   // s0 of the design
-	spareSeats = 256 // seats to s0, at the least: m then stands still while a fleet grows
-	candidates = 3   // caches that a key may go to on the ordinary path
-	quarters   = 5   // four quarters of the cold window, and the one begun
-	coldMargin = 0.8 // of the cold budget, left for chance and for works of unlike size
-	firstLimit = 12  // in flight to one cache from all proxies, before anything is learned
-	hotKeys    = 64
-	mostNews   = 32 * 8 // bytes in one message
-	shortShare = 200    // the fleet is short when one push in so many goes unanswered
+	slack       = 4   // s0 of the design
+	spareSeats  = 256 // seats to s0, at the least: m then stands still while a fleet grows
+	candidates  = 3   // caches that a key may go to on the ordinary path
+	quarters    = 5   // four quarters of the cold window, and the one begun
+	coldMargin  = 0.8 // of the cold budget, left for chance and for works of unlike size
+	firstLimit  = 12  // in flight to one cache from all proxies, before anything is learned
+	hotKeys     = 64
+	leastTokens = 4      // a share split among many proxies must still fill to whole ops
+	mostNews    = 32 * 8 // bytes in one message
+	shortShare  = 200    // the fleet is short when one push in so many goes unanswered
 
 	tokenTick, tokenWatch, tokenOp = 0, 1, 2 // tokenOp and up: the op's id
 )
@@ -190,7 +191,7 @@
 	}
 	for _, quota := range s.Quotas {
 		rate := quota / float64(s.Proxies)
-		b.tenants = append(b.tenants, tenant{rate, rate})
+		b.tenants = append(b.tenants, tenant{max(rate, leastTokens/2), rate})
 	}
 	if !s.Aside {
 		b.shadow = &cache{shared: true}
@@ -726,7 +727,7 @@
 	now := b.host.Now()
 	b.host.Timer(tokenTick, 4*b.Tick)
 	for i, t := range b.tenants {
-		b.tenants[i].tokens = min(t.tokens+t.rate*float64(4*b.Tick)/10000, 2*t.rate)
+		b.tenants[i].tokens = min(t.tokens+t.rate*float64(4*b.Tick)/10000, max(2*t.rate, leastTokens))
 	}
 	if now >= b.rolled+b.TipAfter/(quarters-1) {
 		b.roll(now)
