Shortage is one figure learned from all answers; limits start at one push or more

Cause: at hundreds of proxies the first limit was a fraction whose pacing lost a third of all ops, and no cache sees enough answers to learn.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,16 +19,16 @@
 )
 
 const (
-	slack       = 4   // s0 of the design
-	spareSeats  = 256 // seats to s0, at the least: m then stands still while a fleet grows
-	candidates  = 3   // caches that a key may go to on the ordinary path
-	quarters    = 5   // four quarters of the cold window, and the one begun
-	coldMargin  = 0.8 // of the cold budget, left for chance and for works of unlike size
-	firstLimit  = 12  // in flight to one cache from all proxies, before anything is learned
-	hotKeys     = 64
-	leastTokens = 4      // a share split among many proxies must still fill to whole ops
-	mostNews    = 32 * 8 // bytes in one message
-	shortShare  = 200    // the fleet is short when one push in so many goes unanswered
+	slack                = 4   // s0 of the design
+	spareSeats           = 256 // seats to s0, at the least: m then stands still while a fleet grows
+	candidates           = 3   // caches that a key may go to on the ordinary path
+	quarters             = 5   // four quarters of the cold window, and the one begun
+	coldMargin           = 0.8 // of the cold budget, left for chance and for works of unlike size
+	firstLimit           = 12  // in flight to one cache from all proxies, before anything is learned
+	hotKeys              = 64
+	leastTokens          = 4                  // a share split among many proxies must still fill to whole ops
+	mostNews             = 32 * 8             // bytes in one message
+	strainUp, strainDown = 1.0 / 16, 1.0 / 64 // what a failure adds to strain, what an answer takes off it
 
 	tokenTick, tokenWatch, tokenOp = 0, 1, 2 // tokenOp and up: the op's id
 )
@@ -175,7 +175,7 @@
 	target, shortest Time    // target latency: the usual one among pushes that end; the shortest
 	rolled           Time
 	turn             int
-	short            bool    // of capacity
+	strain           float64 // 0 to 1: how short the fleet is, from all its answers and failures
 	luck             float64 // below 1, drawn for each cold window
 }
 
@@ -183,7 +183,7 @@
 func New(s Settings, seed uint64, h Host) *Balancer {
 	b := &Balancer{Settings: s, host: h, rnd: pcg{seed}, caches: map[uint32]*cache{}, ops: map[uint32]*op{},
 		hot: map[uint64]float64{}, fetches: map[uint64]*op{}, tries: make([]tryLength, len(s.Categories)),
-		shortest: s.Categories[0].Target, first: firstLimit / float64(s.Proxies)}
+		shortest: s.Categories[0].Target, first: max(firstLimit/float64(s.Proxies), 1)}
 	for _, c := range s.Categories {
 		b.benefit = max(b.benefit, c.Benefit)
 		b.shortest = min(b.shortest, c.Target)
@@ -436,9 +436,7 @@
 // too much, a limit under one paces: caches that go on with work that nobody waits for would stay jammed.
 func (b *Balancer) room(c *cache, o *op) bool {
 	limit, idle := c.limit*o.lane, float64(b.host.Now()-c.sentAt)
-	if b.short {
-		limit *= 1 - 0.9*o.beyond
-	}
+	limit *= 1 - min(max(b.strain/(1-o.beyond)-0.25, 0), 1)
 	return float64(c.out) < limit && (limit >= 1 || idle > float64(b.shortest)/4*(1/limit-1))
 }
 
@@ -528,7 +526,11 @@
 	if how == Acked || how == Miss {
 		c.good++
 		c.rest = 0
-	} else if how == TimedOut || how == Errored && !missed {
+		b.strain -= b.strain * strainDown
+	} else if how != Cancelled && how != Moot {
+		b.strain += (1 - b.strain) * strainUp
+	}
+	if how == TimedOut || how == Errored && !missed {
 		c.bad++
 	}
 	if how == Acked {
@@ -755,7 +757,6 @@
 	if b.turn++; b.shadow != nil && b.turn%(2*quarters) == 0 {
 		b.kept = [2]map[uint64]bool{{}, b.kept[0]}
 	}
-	good, bad := 0.0, 0.0
 	for _, c := range b.caches {
 		copy(c.sent[1:], c.sent[:quarters-1])
 		copy(c.done[1:], c.done[:quarters-1])
@@ -764,10 +765,5 @@
 		for i := range c.span {
 			c.span[i] /= 2
 		}
-		good, bad = good+c.good, bad+c.bad
-	}
-	if short := bad > good/shortShare; short != b.short {
-		b.short = short
-		b.host.Log(map[bool]string{true: "short of capacity", false: "no longer short of capacity"}[short])
 	}
 }
