Close idle connections that cost more to hold than to make anew

Cause: 258 proxies each held a connection to each of 48 caches that take 90; over half of all pushes got none.

--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -26,6 +26,10 @@
 		TipAfter     uint64  `json:"tip-after-us"`
 		WarmUp       uint64  `json:"warm-up-us"`
 	} `json:"contract"`
+	Deductions struct {
+		Connection float64 `json:"connection"`
+		Handshake  float64 `json:"handshake"`
+	} `json:"deductions"`
 	Discovery  string `json:"discovery"`
 	FamilyInfo struct {
 		Mode       string `json:"mode"`
@@ -68,6 +72,7 @@
 		FallMultiple: c.Contract.FallMultiple, TipAfter: down(c.Contract.TipAfter + 99),
 		Tick: max(down(c.Tick+99), 1), MostPushes: max(c.Limits.MostPushes, 1),
 		Cancelling: c.Limits.Cancelling, Probing: c.Limits.Probing, Peers: c.Limits.Peers,
+		ConnPrice: c.Deductions.Connection, HandshakePrice: c.Deductions.Handshake,
 	}
 	if c.FamilyInfo.OriginKind != nil {
 		s.OriginKind = *c.FamilyInfo.OriginKind
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -96,16 +96,16 @@
 
 type cache struct {
 	Entry
-	listed, shared  bool          // shared: the origin or its shadow
-	out             int           // own pushes in flight
-	sent, done      [quarters]int // pushes, and those acked, by quarter
-	good, bad       float64       // answers and failures, fading
-	limit           float64       // in flight, learned
-	cutAt, sentAt   Time          // the limit last fell; the last push
-	fails           int           // connections failed in a row
-	back            Time          // it answered again after such
-	rest, restUntil Time          // the last rest, 0 once it has answered; not ready before
-	span            hist          // answer times
+	listed, open, shared bool          // shared: the origin or its shadow
+	out                  int           // own pushes in flight
+	sent, done           [quarters]int // pushes, and those acked, by quarter
+	good, bad            float64       // answers and failures, fading
+	limit                float64       // in flight, learned
+	cutAt, sentAt        Time          // the limit last fell; the last push
+	fails                int           // connections failed in a row
+	back                 Time          // it answered again after such
+	rest, restUntil      Time          // the last rest, 0 once it has answered; not ready before
+	span                 hist          // answer times
 }
 
 type op struct {
@@ -500,7 +500,7 @@
 	}
 	c.out++
 	c.sent[0]++
-	c.sentAt = now
+	c.sentAt, c.open = now, true
 	b.host.Push(o.id, c.ID, o.aim)
 }
 
@@ -734,7 +734,14 @@
 	if now >= b.rolled+b.TipAfter/(quarters-1) {
 		b.roll(now)
 	}
+	// A connection that costs more to hold until the fleet's next op there than to make anew is closed: else
+	// hundreds of proxies fill the caches' tables, and connecting fails as if the caches were gone.
+	idle := b.HandshakePrice / b.ConnPrice * 100 * float64(len(b.ranks)*5) / (b.asked * float64(b.Proxies))
 	for _, c := range b.ranks {
+		if c.open && c.out == 0 && float64(now-c.sentAt) > idle*float64(b.TipAfter) {
+			c.open = false
+			b.host.Close(c.ID)
+		}
 		if c.fails > 0 && now >= c.restUntil && b.Probing {
 			b.suspend(c, now) // until the probe returns, or for good
 			b.host.Probe(c.ID)
--- a/policy/types.go
+++ b/policy/types.go
@@ -76,24 +76,26 @@
 
 // Settings holds what the module reads of a deployment's figures.
 type Settings struct {
-	Categories    []Category
-	Quotas        []float64 // ops a second inside each tenant's share, over all proxies
-	BeyondBenefit float64   // share of its benefit that an op beyond its tenant's share keeps
-	Proxies       int
-	AskList       bool
-	AskEvery      Time
-	Aside         bool
-	OriginKind    int // -1: none is listed
-	ColdFrom      float64
-	WarmUp        Time
-	FallMultiple  float64
-	TipAfter      Time
-	Tick          Time
-	MaxRetryAfter Time // 0: clients take no advice
-	MostPushes    int
-	Cancelling    bool
-	Probing       bool
-	Peers         bool
+	Categories     []Category
+	Quotas         []float64 // ops a second inside each tenant's share, over all proxies
+	BeyondBenefit  float64   // share of its benefit that an op beyond its tenant's share keeps
+	Proxies        int
+	AskList        bool
+	AskEvery       Time
+	Aside          bool
+	OriginKind     int // -1: none is listed
+	ColdFrom       float64
+	WarmUp         Time
+	FallMultiple   float64
+	TipAfter       Time
+	Tick           Time
+	MaxRetryAfter  Time // 0: clients take no advice
+	MostPushes     int
+	Cancelling     bool
+	Probing        bool
+	Peers          bool
+	ConnPrice      float64 // of 100 open connections to each cache
+	HandshakePrice float64 // of one new connection an op
 }
 
 // Host is how the module acts. Calls take effect in the order made.
