The origin's limit may fall below one push a proxy and then paces

Cause: at hundreds of proxies one fetch from each is more than the origin takes; its full queue answered nothing in time.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -477,7 +477,7 @@
 
 // pump sends queued ops to the origin as its limit allows.
 func (b *Balancer) pump() {
-	for len(b.queue) > 0 && b.origin != nil && float64(b.origin.out) < b.origin.limit {
+	for len(b.queue) > 0 && b.origin != nil && b.room(b.origin, b.queue[0]) {
 		o := b.queue[0]
 		b.queue = b.queue[1:]
 		if b.allowed(o, b.origin, b.host.Now()) {
@@ -600,14 +600,11 @@
 
 func (b *Balancer) cut(c *cache, now Time, by float64) {
 	if now >= c.cutAt+b.shortest/4 {
-		limit, floor := c.limit, 1.0/16
+		limit := c.limit
 		if by < 0.9 { // a failure, not one slow answer: start from what is in use
 			limit = min(limit, float64(c.out+1))
 		}
-		if c.shared {
-			floor = 1
-		}
-		c.limit, c.cutAt = max(limit*by, floor), now
+		c.limit, c.cutAt = max(limit*by, 1.0/16), now
 	}
 }
 
