The origin's limit starts at its part of twelve; its floor is one push for all proxies

Cause: a proxy's first limit of one, and a floor of a sixteenth, were more than the origin answers at 28 proxies and more.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -235,7 +235,9 @@
 	for _, c := range b.caches {
 		if c.listed && c.Kind == b.OriginKind {
 			if b.origin == nil || c.ID < b.origin.ID { // the lowest id, whatever the map's order
-				b.origin, c.shared = c, true
+				if b.origin = c; !c.shared {
+					c.limit, c.shared = firstLimit/float64(b.Proxies), true
+				}
 			}
 		} else if c.listed {
 			b.ranks = append(b.ranks, c)
@@ -604,7 +606,7 @@
 		if by < 0.9 { // a failure, not one slow answer: start from what is in use
 			limit = min(limit, float64(c.out+1))
 		}
-		c.limit, c.cutAt = max(limit*by, 1.0/16), now
+		c.limit, c.cutAt = max(limit*by, 1/float64(b.Proxies)), now
 	}
 }
 
