The origin's queue goes without regard to strain; below one its limit doubles on an answer

Cause: ops beyond their share had no room at the origin while short, and in-share ops waited for their fetches.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -235,9 +235,7 @@
 	for _, c := range b.caches {
 		if c.listed && c.Kind == b.OriginKind {
 			if b.origin == nil || c.ID < b.origin.ID { // the lowest id, whatever the map's order
-				if b.origin = c; !c.shared {
-					c.limit, c.shared = firstLimit/float64(b.Proxies), true
-				}
+				b.origin, c.shared = c, true
 			}
 		} else if c.listed {
 			b.ranks = append(b.ranks, c)
@@ -437,8 +435,10 @@
 // room tells whether a cache's learned limit lets one more push in. Where even one push from every proxy is
 // too much, a limit under one paces: caches that go on with work that nobody waits for would stay jammed.
 func (b *Balancer) room(c *cache, o *op) bool {
-	limit, idle := c.limit*o.lane, float64(b.host.Now()-c.sentAt)
-	limit *= 1 - min(max(b.strain/(1-o.beyond)-0.25, 0), 1)
+	limit, idle := c.limit, float64(b.host.Now()-c.sentAt)
+	if c != b.origin { // there others may wait for this op's fetch
+		limit *= o.lane * (1 - min(max(b.strain/(1-o.beyond)-0.25, 0), 1))
+	}
 	return float64(c.out) < limit && (limit >= 1 || idle > float64(b.shortest)/4*(1/limit-1))
 }
 
@@ -529,7 +529,7 @@
 		c.good++
 		c.rest = 0
 		b.strain -= b.strain * strainDown
-	} else if how != Cancelled && how != Moot {
+	} else if (how == TimedOut || how == Full || how == Errored) && c != b.origin {
 		b.strain += (1 - b.strain) * strainUp
 	}
 	if how == TimedOut || how == Errored && !missed {
@@ -584,7 +584,11 @@
 		if taken > inTime {
 			b.cut(c, now, 0.95)
 		} else if float64(c.out+1) >= c.limit/2 && (c.shared || taken < inTime/3) {
-			c.limit += min(1/c.limit, c.limit/4)
+			grow := c.limit / 4
+			if c.shared {
+				grow = c.limit
+			}
+			c.limit += min(1/c.limit, grow)
 		}
 	case Full:
 		b.cut(c, now, 0.8)
