--- a/policy/policy.go
+++ b/policy/policy.go
@@ -102,6 +102,7 @@
 	good, bad            float64       // answers and failures, fading
 	limit                float64       // in flight, learned
 	cutAt, sentAt        Time          // the limit last fell; the last push
+	row                  float64       // halved by each failure in a row
 	fails                int           // connections failed in a row
 	back                 Time          // it answered again after such
 	rest, restUntil      Time          // the last rest, 0 once it has answered; not ready before
@@ -194,7 +195,7 @@
 		b.tenants = append(b.tenants, tenant{max(rate, leastTokens/2), rate})
 	}
 	if !s.Aside {
-		b.shadow = &cache{shared: true}
+		b.shadow = &cache{shared: true, row: 1}
 		b.kept = [2]map[uint64]bool{{}, {}}
 	}
 	b.rolled = h.Now()
@@ -220,7 +221,7 @@
 	for _, e := range entries {
 		c := b.caches[e.ID]
 		if c == nil {
-			c = &cache{limit: b.first}
+			c = &cache{limit: b.first, row: 1}
 			b.caches[e.ID] = c
 		}
 		if e.Start > c.Start {
@@ -247,6 +248,9 @@
 	if b.shadow != nil && b.shadow.cutAt == 0 {
 		b.shadow.limit = b.first * float64(len(b.ranks)) / 2
 	}
+	if b.origin != nil && b.origin.cutAt == 0 {
+		b.origin.limit = float64(max(len(b.ranks), firstLimit)) / float64(b.Proxies)
+	}
 	b.seat()
 	b.pump()
 }
@@ -580,6 +584,7 @@
 	now := b.host.Now()
 	switch how {
 	case Acked, Miss:
+		c.row = 1
 		c.span[min(bits.Len(uint(taken/b.Tick)), len(c.span)-1)]++
 		if taken > inTime {
 			b.cut(c, now, 0.95)
@@ -593,7 +598,10 @@
 	case Full:
 		b.cut(c, now, 0.8)
 	case TimedOut, Errored:
-		b.cut(c, now, 0.7)
+		// What goes on with work that nobody waits for stays jammed unless all back off at once: each failure
+		// in a row cuts deeper.
+		c.row *= 0.5
+		b.cut(c, now, 0.7*2*c.row)
 		if !c.shared && b.sick(c) {
 			b.suspend(c, now)
 		}
