--- a/policy/policy.go
+++ b/policy/policy.go
@@ -170,10 +170,11 @@
 	tenants          []tenant
 	tries            []tryLength        // by category
 	hot              map[uint64]float64 // by key: asked lately
-	asked            float64
-	benefit          float64 // the highest
-	heaviest, first  float64 // weight; limit before anything is learned
-	target, shortest Time    // target latency: the usual one among pushes that end; the shortest
+	asked, gap       float64            // ops counted; the usual span between two
+	last             Time               // op
+	benefit          float64            // the highest
+	heaviest, first  float64            // weight; limit before anything is learned
+	target, shortest Time               // target latency: the usual one among pushes that end; the shortest
 	rolled           Time
 	turn             int
 	strain           float64 // 0 to 1: how short the fleet is, from all its answers and failures
@@ -198,7 +199,7 @@
 		b.shadow = &cache{shared: true, row: 1}
 		b.kept = [2]map[uint64]bool{{}, {}}
 	}
-	b.rolled = h.Now()
+	b.rolled, b.last = h.Now(), h.Now()
 	h.Timer(tokenTick, 4*s.Tick)
 	if s.AskList {
 		h.Watch(true)
@@ -302,6 +303,8 @@
 		o.key = uint64(b.rnd.next())<<32 | uint64(b.rnd.next())
 	}
 	o.heat = b.heat(o.key)
+	b.gap += (float64(now-b.last) - b.gap) / 32
+	b.last = now
 	if o.aim <= now {
 		b.giveUp(o)
 	} else if b.Aside && (write || b.fetches[o.key] != nil) {
@@ -311,12 +314,17 @@
 	}
 }
 
-// heat is a key's share of this proxy's late traffic, from a few counters that fade.
+// heat is a key's share of this proxy's late traffic, from a few counters, halved now and then.
 func (b *Balancer) heat(key uint64) float64 {
-	b.asked++
+	if b.asked++; b.asked > 8*hotKeys {
+		b.asked /= 2
+		for k := range b.hot {
+			b.hot[k] /= 2
+		}
+	}
 	if _, ok := b.hot[key]; ok || len(b.hot) < hotKeys {
 		b.hot[key]++
-		return b.hot[key] / max(b.asked, hotKeys)
+		return (b.hot[key] + 1) / max(b.asked, hotKeys/4) // in doubt, hotter
 	}
 	for k := range b.hot { // all lose alike, so the map's order does not matter
 		if b.hot[k]--; b.hot[k] <= 0 {
@@ -379,8 +387,8 @@
 
 // choices are the caches that a key maps to in turn; a missing rank is rehashed. All salts are one sequence:
 // the next choice is where the key lives without the first, so that it moves once when a cache comes or goes.
-func (b *Balancer) choices(key uint64) (choices []*cache) {
-	for salt := uint64(0); len(choices) < min(candidates, len(b.ranks)) && salt < uint64(8*b.circle.m); salt++ {
+func (b *Balancer) choices(key uint64, n int) (choices []*cache) {
+	for salt := uint64(0); len(choices) < min(n, len(b.ranks)) && salt < uint64(8*b.circle.m); salt++ {
 		arc, _ := bits.Mul64(mix(key, salt), uint64(b.circle.m))
 		c := b.seats[b.circle.bucket(int(arc))]
 		// A small cache is passed over in proportion, by the key's hash, alike at every proxy.
@@ -398,10 +406,11 @@
 		total += c.out
 		weight += c.Weight
 	}
-	choices := b.choices(o.key)
-	// A key that asks for more than its first cache's fair share is spread over the first few.
+	// A key that asks for more than a mean cache's fair share is spread over as many as it would fill.
+	spread := 1 + int(o.heat*float64(len(b.ranks)))
+	choices := b.choices(o.key, max(candidates, spread))
 	if len(choices) > 1 {
-		if n := min(1+int(o.heat*weight/choices[0].Weight), len(choices)); n > 1 {
+		if n := min(spread, len(choices)); n > 1 {
 			first := int(b.rnd.next()) % n
 			choices[0], choices[first] = choices[first], choices[0]
 		}
@@ -747,9 +756,9 @@
 	}
 	// A connection that costs more to hold until the fleet's next op there than to make anew is closed: else
 	// hundreds of proxies fill the caches' tables, and connecting fails as if the caches were gone.
-	idle := b.HandshakePrice / b.ConnPrice * 100 * float64(len(b.ranks)*5) / (b.asked * float64(b.Proxies))
+	idle := b.HandshakePrice / b.ConnPrice * 100 * float64(len(b.ranks)) * b.gap / float64(b.Proxies)
 	for _, c := range b.ranks {
-		if c.open && c.out == 0 && float64(now-c.sentAt) > idle*float64(b.TipAfter) {
+		if c.open && c.out == 0 && float64(now-c.sentAt) > idle {
 			c.open = false
 			b.host.Close(c.ID)
 		}
@@ -765,10 +774,6 @@
 func (b *Balancer) roll(now Time) {
 	b.rolled = now
 	b.tell(1)
-	b.asked *= 0.95
-	for k := range b.hot {
-		b.hot[k] *= 0.95
-	}
 	if b.turn%quarters == 0 {
 		b.luck = float64(b.rnd.next()) / (1 << 32)
 	}
