A cache's limit below one grows on any answer in time

Cause: growth asked for answers within a ninth of the target, which a cache at its floor never gave again.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -598,7 +598,7 @@
 		c.span[min(bits.Len(uint(taken/b.Tick)), len(c.span)-1)]++
 		if taken > inTime {
 			b.cut(c, now, 0.95)
-		} else if float64(c.out+1) >= c.limit/2 && (c.shared || taken < inTime/3) {
+		} else if float64(c.out+1) >= c.limit/2 && (c.shared || c.limit < 1 || taken < inTime/3) {
 			grow := c.limit / 4
 			if c.shared {
 				grow = c.limit
