--- a/policy/policy.go
+++ b/policy/policy.go
@@ -171,11 +171,12 @@
 	tenants          []tenant
 	tries            []tryLength        // by category
 	hot              map[uint64]float64 // by key: asked lately
-	asked, gap       float64            // ops counted; the usual span between two
-	last             Time               // op
-	benefit          float64            // the highest
-	heaviest, first  float64            // weight; limit before anything is learned
-	target, shortest Time               // target latency: the usual one among pushes that end; the shortest
+	asked            float64
+	gap              float64 // the usual span between two pushes
+	last             Time    // push
+	benefit          float64 // the highest
+	heaviest, first  float64 // weight; limit before anything is learned
+	target, shortest Time    // target latency: the usual one among pushes that end; the shortest
 	rolled           Time
 	turn             int
 	strain           float64 // 0 to 1: how short the fleet is, from all its answers and failures
@@ -304,8 +305,6 @@
 		o.key = uint64(b.rnd.next())<<32 | uint64(b.rnd.next())
 	}
 	o.heat = b.heat(o.key)
-	b.gap += (float64(now-b.last) - b.gap) / 32
-	b.last = now
 	if o.aim <= now {
 		b.giveUp(o)
 	} else if b.Aside && (write || b.fetches[o.key] != nil) {
@@ -517,6 +516,8 @@
 	c.out++
 	c.sent[0]++
 	c.sentAt, c.open = now, true
+	b.gap += (float64(now-b.last) - b.gap) / 32
+	b.last = now
 	b.host.Push(o.id, c.ID, o.aim)
 }
 
