The floor of limits is two pushes for all proxies

Cause: from a floor of one, a proxy asked a jammed origin again only after 20 s, long after the jam was over.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -629,7 +629,7 @@
 		if by < 0.9 { // a failure, not one slow answer: start from what is in use
 			limit = min(limit, float64(c.out+1))
 		}
-		c.limit, c.cutAt = max(limit*by, 1/float64(b.Proxies)), now
+		c.limit, c.cutAt = max(limit*by, min(1.0/16, 2/float64(b.Proxies))), now
 	}
 }
 
