--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -40,7 +40,6 @@
 		MaxRetryAfter uint64 `json:"max-retry-after-us"`
 		MostPushes    int    `json:"most-pushes"`
 		Peers         bool   `json:"peers"`
-		Probing       bool   `json:"probing"`
 		RetryAfter    bool   `json:"retry-after"`
 	} `json:"limits"`
 	Tenants []struct {
@@ -71,7 +70,7 @@
 		ColdFrom: c.Contract.ColdFrom, WarmUp: down(c.Contract.WarmUp + 99),
 		FallMultiple: c.Contract.FallMultiple, TipAfter: down(c.Contract.TipAfter + 99),
 		Tick: max(down(c.Tick+99), 1), MostPushes: max(c.Limits.MostPushes, 1),
-		Cancelling: c.Limits.Cancelling, Probing: c.Limits.Probing, Peers: c.Limits.Peers,
+		Cancelling: c.Limits.Cancelling, Peers: c.Limits.Peers,
 		ConnPrice: c.Deductions.Connection, HandshakePrice: c.Deductions.Handshake,
 	}
 	if c.FamilyInfo.OriginKind != nil {
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -159,20 +159,12 @@
 		}
 	case 4:
 		delete(w.instances, id)
-	case 5:
-		node, reason := r.u32(), r.u8()
-		r.u32()
+	case 5: // the module asks for no probes
+		r.take(9)
 		r.skipReport()
-		outcome, ok := outcomes[reason]
 		if r.short {
 			return cut()
 		}
-		if !ok {
-			return fmt.Errorf("unknown outcome %d", reason)
-		}
-		if in.proxy != nil {
-			in.proxy.ProbeReturned(node, outcome)
-		}
 	case 6:
 		seed := r.u64()
 		conf := r.take(int(r.u32()))
@@ -302,9 +294,6 @@
 func (in *instance) Cancel(op uint32, push int) {
 	in.w.out = append(binary.LittleEndian.AppendUint32(in.begin(8), op), byte(push))
 }
-func (in *instance) Probe(cache uint32) {
-	in.w.out = binary.LittleEndian.AppendUint32(in.begin(9), cache)
-}
 func (in *instance) Close(cache uint32) {
 	in.w.out = binary.LittleEndian.AppendUint32(in.begin(11), cache)
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,6 +1,6 @@
 // Package policy makes all decisions of one minttray proxy. Call New with the settings, a seed and a Host
 // (types.go), then one method for each thing that happens: OpArrived, PushEnded, StreamBegan, ClientLeft,
-// ListArrived, ProbeReturned, PeerSaid, TimerDue. The module acts by calling the Host from inside them.
+// ListArrived, PeerSaid, TimerDue. The module acts by calling the Host from inside them.
 // The design (docs/design.md) decides the ordinary path: round-mapping over ranked caches, salted candidates
 // and the twice-mean pass. Beside it stand six mechanisms at most:
 //  1. seats: a cache keeps its bucket while others come and go; small caches are passed over by weight;
@@ -104,8 +104,6 @@
 	limit                float64       // in flight, learned
 	cutAt, sentAt        Time          // the limit last fell; the last push
 	row                  float64       // halved by each failure in a row
-	fails                int           // connections failed in a row
-	back                 Time          // it answered again after such
 	rest, restUntil      Time          // the last rest, 0 once it has answered; not ready before
 	span                 hist          // answer times
 }
@@ -123,7 +121,6 @@
 	out     []push
 	tried   []*cache
 	ran     *push // the first push that may have run
-	waits   []*op // for this op's fetch of their key
 	done    bool
 }
 
@@ -166,8 +163,7 @@
 	kept             [2]map[uint64]bool // keys answered lately, so likely kept
 	news             []byte             // of such keys, for the peers
 	ops              map[uint32]*op
-	fetches          map[uint64]*op // by key: the op whose fetch is out or queued
-	queue            []*op          // for the origin
+	queue            []*op // for the origin
 	tenants          []tenant
 	tries            []tryLength        // by category
 	hot              map[uint64]float64 // by key: asked lately
@@ -186,7 +182,7 @@
 // New starts a proxy; a list of kind ListCached is expected next.
 func New(s Settings, seed uint64, h Host) *Balancer {
 	b := &Balancer{Settings: s, host: h, rnd: pcg{seed}, caches: map[uint32]*cache{}, ops: map[uint32]*op{},
-		hot: map[uint64]float64{}, fetches: map[uint64]*op{}, tries: make([]tryLength, len(s.Categories)),
+		hot: map[uint64]float64{}, tries: make([]tryLength, len(s.Categories)),
 		shortest: s.Categories[0].Target, first: max(firstLimit/float64(s.Proxies), 1)}
 	for _, c := range s.Categories {
 		b.benefit = max(b.benefit, c.Benefit)
@@ -228,7 +224,7 @@
 			b.caches[e.ID] = c
 		}
 		if e.Start > c.Start {
-			c.restUntil, c.rest, c.fails, c.bad = 0, 0, 0, 0 // a new process: old failures say nothing of it
+			c.restUntil, c.rest, c.bad = 0, 0, 0 // a new process: old failures say nothing of it
 		}
 		e.Start = max(e.Start, c.Start)
 		if c.Entry, c.listed = e, e.State != Gone; !c.listed {
@@ -307,7 +303,7 @@
 	o.heat = b.heat(o.key)
 	if o.aim <= now {
 		b.giveUp(o)
-	} else if b.Aside && (write || b.fetches[o.key] != nil) {
+	} else if b.Aside && write {
 		b.toOrigin(o)
 	} else {
 		b.toCache(o)
@@ -336,11 +332,10 @@
 
 // share is the part of its capacity that a cache has surely reached.
 func (b *Balancer) share(c *cache, now Time) float64 {
-	start := max(c.Start, c.back)
-	if start == 0 || now-start >= b.WarmUp {
+	if c.Start == 0 || now-c.Start >= b.WarmUp {
 		return 1
 	}
-	return b.ColdFrom + (1-b.ColdFrom)*float64(max(now-start, 0))/float64(b.WarmUp)
+	return b.ColdFrom + (1-b.ColdFrom)*float64(max(now-c.Start, 0))/float64(b.WarmUp)
 }
 
 // coldRoom keeps a young cache from being pushed over by all proxies together: what each may send it is a
@@ -461,17 +456,12 @@
 	return b.shadow != nil && (o.write || !b.kept[0][o.key] && !b.kept[1][o.key])
 }
 
-// toOrigin queues an op for the origin; a read whose key is being fetched waits, then asks the caches again.
+// toOrigin queues an op for the origin.
 func (b *Balancer) toOrigin(o *op) {
 	if b.origin == nil {
 		b.giveUp(o)
 		return
 	}
-	if f := b.fetches[o.key]; !o.write && f != nil && f != o {
-		f.waits = append(f.waits, o)
-		b.host.Timer(tokenOp+uint64(o.id), o.aim-b.host.Now()) // held until then at most
-		return
-	}
 	span := float64(b.origin.span.median() * b.Tick)
 	wait := span * float64(len(b.queue)) / b.origin.limit / (1 - 0.75*o.beyond)
 	if b.host.Now()+Time(wait+span) > o.aim && len(b.queue) > 0 {
@@ -479,9 +469,6 @@
 		return
 	}
 	b.host.Timer(tokenOp+uint64(o.id), o.aim-b.host.Now()) // held until then at most
-	if !o.write {
-		b.fetches[o.key] = o
-	}
 	at := len(b.queue)
 	for at > 0 && b.queue[at-1].lane-b.queue[at-1].beyond < o.lane-o.beyond {
 		at--
@@ -617,7 +604,6 @@
 			b.suspend(c, now)
 		}
 	case ConnectFailed, Broken:
-		c.fails++
 		b.cut(c, now, 0.7)
 		b.suspend(c, now)
 	}
@@ -652,18 +638,6 @@
 	return c.bad >= 3 && len(shares) > 0 && c.bad/(c.good+c.bad) > 2*shares[len(shares)/2]+0.25
 }
 
-// ProbeReturned takes the result of a probe of a cache that could not be reached.
-func (b *Balancer) ProbeReturned(id uint32, how Outcome) {
-	c := b.caches[id]
-	if c == nil || how != Acked {
-		return
-	}
-	if c.fails > 1 {
-		c.back = b.host.Now() // it was away: cold, whatever the list still says of its start
-	}
-	c.fails, c.rest, c.restUntil = 0, 0, 0
-}
-
 // tell gives the peers news of kept keys: a proxy that is new would else fear a fetch for most keys.
 func (b *Balancer) tell(least int) {
 	if len(b.news) >= least {
@@ -710,7 +684,7 @@
 	b.finish(o)
 }
 
-// finish ends an op, and lets go those that waited for its fetch, whether it was answered or not.
+// finish ends an op.
 func (b *Balancer) finish(o *op) {
 	if !o.done && b.Cancelling {
 		for _, p := range o.out {
@@ -722,15 +696,6 @@
 		delete(b.ops, o.id)
 	}
 	b.queue = slices.DeleteFunc(b.queue, func(q *op) bool { return q == o })
-	if b.fetches[o.key] == o {
-		delete(b.fetches, o.key)
-		for _, w := range o.waits {
-			if !w.done {
-				w.tried = nil
-				b.toCache(w)
-			}
-		}
-	}
 }
 
 // TimerDue takes back a token; timers can't be unset, so a stale one does nothing.
@@ -764,10 +729,6 @@
 			c.open = false
 			b.host.Close(c.ID)
 		}
-		if c.fails > 0 && now >= c.restUntil && b.Probing {
-			b.suspend(c, now) // until the probe returns, or for good
-			b.host.Probe(c.ID)
-		}
 	}
 	b.pump()
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -101,9 +101,8 @@
 func (w *world) Nack(op uint32, comeBack Time)  { w.say("nack", op) }
 func (w *world) DeadLetter(op uint32)           { w.say("dead", op) }
 func (w *world) Timer(token uint64, after Time) { w.after(after, func() { w.b.TimerDue(token) }) }
-func (w *world) Probe(cache uint32)             { w.say("probe", cache) }
 func (w *world) Tell(news []byte)               { w.say("tell", len(news)) }
-func (w *world) Close(cache uint32)             {}
+func (w *world) Close(cache uint32)             { w.counts["close"]++ }
 func (w *world) Log(text string)                {}
 func (w *world) Watch(on bool)                  { w.say("watch", on) }
 
@@ -203,8 +202,8 @@
 		o := options(t, rest)
 		w.s = Settings{Proxies: int(max(o["proxies"], 1)), AskList: o["ask"] > 0, AskEvery: 100000,
 			Aside: o["aside"] > 0, OriginKind: 1, ColdFrom: 0.5, WarmUp: 100000, FallMultiple: 2, TipAfter: 20000,
-			Tick: 50, MaxRetryAfter: 10000, MostPushes: 4, Cancelling: true, Probing: o["probing"] > 0,
-			BeyondBenefit: o["beyond"]}
+			Tick: 50, MaxRetryAfter: 10000, MostPushes: 4, Cancelling: true,
+			BeyondBenefit: o["beyond"], ConnPrice: o["connection"], HandshakePrice: o["handshake"]}
 	case "category":
 		o := options(t, rest[1:])
 		w.s.Categories = append(w.s.Categories, Category{Benefit: max(o["benefit"], 1), Window: Time(10 * o["window"]),
@@ -248,8 +247,6 @@
 		w.b.PeerSaid(binary.LittleEndian.AppendUint64(nil, uint64(number(t, rest[0]))))
 	case "leaves":
 		w.b.ClientLeft(uint32(number(t, rest[0])))
-	case "probed":
-		w.b.ProbeReturned(uint32(number(t, cmp.Or(w.names[rest[0]], rest[0]))), outcomes[rest[1]])
 	case "wait":
 		w.run(w.now + Time(10*number(t, rest[0])))
 	case "want":
--- a/policy/types.go
+++ b/policy/types.go
@@ -92,7 +92,6 @@
 	MaxRetryAfter  Time // 0: clients take no advice
 	MostPushes     int
 	Cancelling     bool
-	Probing        bool
 	Peers          bool
 	ConnPrice      float64 // of 100 open connections to each cache
 	HandshakePrice float64 // of one new connection an op
@@ -106,7 +105,6 @@
 	Nack(op uint32, comeBack Time)
 	DeadLetter(op uint32)
 	Timer(token uint64, after Time)
-	Probe(cache uint32)
 	Tell(news []byte) // to all peers, 256 bytes at most
 	Watch(on bool)
 	Close(cache uint32) // idle connections to it
