--- a/policy/policy.go
+++ b/policy/policy.go
@@ -320,7 +320,11 @@
 	}
 	if _, ok := b.hot[key]; ok || len(b.hot) < hotKeys {
 		b.hot[key]++
-		return (b.hot[key] + 1) / max(b.asked, hotKeys/4) // in doubt, hotter
+		doubt := -1.0 // once is chance
+		if b.origin != nil && b.origin.limit >= 0.5 {
+			doubt = 1 // what an extra copy costs is there, so in doubt a key is hot
+		}
+		return max(b.hot[key]+doubt, 0) / max(b.asked, hotKeys/4)
 	}
 	for k := range b.hot { // all lose alike, so the map's order does not matter
 		if b.hot[k]--; b.hot[k] <= 0 {
