--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,8 +28,8 @@
 	hotKeys              = 64
 	leastTokens          = 4                  // a share split among many proxies must still fill to whole ops
 	mostNews             = 32 * 8             // bytes in one message
-	strainUp, strainDown = 1.0 / 16, 1.0 / 64 // what a failure adds to strain, what an answer takes off it
-	calm                 = 1.0 / 24           // strain that chance alone may bring
+	strainUp, strainDown = 1.0 / 16, 1.0 / 128 // what a failure adds to strain, what an answer takes off it
+	calm                 = 1.0 / 10           // strain that chance alone may bring
 
 	tokenTick, tokenWatch, tokenOp = 0, 1, 2 // tokenOp and up: the op's id
 )
