--- a/policy/policy.go
+++ b/policy/policy.go
@@ -566,7 +566,8 @@
 	case len(o.out) > 0:
 	case how == Miss && b.Aside && o.n < b.MostPushes:
 		b.toOrigin(o)
-	case missed && how == Errored || b.host.Now() >= o.aim || o.n >= o.most ||
+	// Under strain a further push mostly meets another full queue, and costs a connection there.
+	case missed && how == Errored || b.host.Now() >= o.aim || float64(o.n) >= float64(o.most)*(1-b.strain) ||
 		o.ran != nil && o.cat.Effect == AtMostOnce:
 		b.giveUp(o)
 	default:
