--- a/policy/policy.go
+++ b/policy/policy.go
@@ -4,11 +4,11 @@
 // The design (docs/design.md) decides the ordinary path: round-mapping over ranked caches, salted candidates
 // and the twice-mean pass. Beside it stand six mechanisms at most:
 //  1. seats: a cache keeps its bucket while others come and go; small caches are passed over by weight;
-//  2. hot keys: a key over its first cache's fair share is spread over its candidates;
+//  2. hot keys: a key over a cache's fair share is spread over as many candidates as it would fill;
 //  3. cold budget: what a young cache may be pushed in any window, as a ratio to what the fleet answers;
-//  4. health: a cache that can't be reached, or fails far more than the median, rests; then it is probed;
-//  5. limits: learned in-flight limits of the caches and of the origin, whose fetches are shared by key;
-//  6. benefit: ops beyond their tenant's share, or of small benefit, yield first and get fewer pushes.
+//  4. health: a cache that can't be reached, or fails far more than the median, rests;
+//  5. limits: learned in-flight limits of the caches and of the origin; below one push they pace;
+//  6. benefit: as the fleet is strained, ops beyond their tenant's share or of small benefit yield first.
 package policy
 
 import (
@@ -26,10 +26,10 @@
 	coldMargin           = 0.8 // of the cold budget, left for chance and for works of unlike size
 	firstLimit           = 12  // in flight to one cache from all proxies, before anything is learned
 	hotKeys              = 64
-	leastTokens          = 4                  // a share split among many proxies must still fill to whole ops
-	mostNews             = 32 * 8             // bytes in one message
+	leastTokens          = 4                   // a share split among many proxies must still fill to whole ops
+	mostNews             = 32 * 8              // bytes in one message
 	strainUp, strainDown = 1.0 / 16, 1.0 / 128 // what a failure adds to strain, what an answer takes off it
-	calm                 = 1.0 / 10           // strain that chance alone may bring
+	calm                 = 1.0 / 10            // strain that chance alone may bring
 
 	tokenTick, tokenWatch, tokenOp = 0, 1, 2 // tokenOp and up: the op's id
 )
@@ -448,7 +448,7 @@
 // too much, a limit under one paces: caches that go on with work that nobody waits for would stay jammed.
 func (b *Balancer) room(c *cache, o *op) bool {
 	limit, idle := c.limit, float64(b.host.Now()-c.sentAt)
-	if c != b.origin { // there others may wait for this op's fetch
+	if c != b.origin { // what has no room there would be held in the queue with nothing out
 		limit *= o.lane * (1 - min(max((b.strain-calm)/(1-o.beyond)-0.25, 0), 1))
 	}
 	return float64(c.out) < limit && (limit >= 1 || idle > float64(b.shortest)/4*(1/limit-1))
