--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,7 +25,7 @@
 	quarters             = 5   // four quarters of the cold window, and the one begun
 	coldMargin           = 0.8 // of the cold budget, left for chance and for works of unlike size
 	firstLimit           = 12  // in flight to one cache from all proxies, before anything is learned
-	hotKeys              = 64
+	hotKeys              = 128
 	leastTokens          = 4                   // a share split among many proxies must still fill to whole ops
 	mostNews             = 32 * 8              // bytes in one message
 	strainUp, strainDown = 1.0 / 16, 1.0 / 128 // what a failure adds to strain, what an answer takes off it
@@ -103,7 +103,6 @@
 	good, bad            float64       // answers and failures, fading
 	limit                float64       // in flight, learned
 	cutAt, sentAt        Time          // the limit last fell; the last push
-	row                  float64       // halved by each failure in a row
 	rest, restUntil      Time          // the last rest, 0 once it has answered; not ready before
 	span                 hist          // answer times
 }
@@ -168,6 +167,7 @@
 	tries            []tryLength        // by category
 	hot              map[uint64]float64 // by key: asked lately
 	asked            float64
+	row              float64 // halved by each failure in a row at the origin
 	gap              float64 // the usual span between two pushes
 	last             Time    // push
 	benefit          float64 // the highest
@@ -194,10 +194,10 @@
 		b.tenants = append(b.tenants, tenant{max(rate, leastTokens/2), rate})
 	}
 	if !s.Aside {
-		b.shadow = &cache{shared: true, row: 1}
+		b.shadow = &cache{shared: true}
 		b.kept = [2]map[uint64]bool{{}, {}}
 	}
-	b.rolled, b.last = h.Now(), h.Now()
+	b.rolled, b.last, b.row = h.Now(), h.Now(), 1
 	h.Timer(tokenTick, 4*s.Tick)
 	if s.AskList {
 		h.Watch(true)
@@ -220,7 +220,7 @@
 	for _, e := range entries {
 		c := b.caches[e.ID]
 		if c == nil {
-			c = &cache{limit: b.first, row: 1}
+			c = &cache{limit: b.first}
 			b.caches[e.ID] = c
 		}
 		if e.Start > c.Start {
@@ -324,7 +324,7 @@
 		if b.origin != nil && b.origin.limit >= 0.5 {
 			doubt = 1 // what an extra copy costs is there, so in doubt a key is hot
 		}
-		return max(b.hot[key]+doubt, 0) / max(b.asked, hotKeys/4)
+		return max(b.hot[key]+doubt, 0) / max(b.asked, hotKeys/8)
 	}
 	for k := range b.hot { // all lose alike, so the map's order does not matter
 		if b.hot[k]--; b.hot[k] <= 0 {
@@ -587,7 +587,9 @@
 	now := b.host.Now()
 	switch how {
 	case Acked, Miss:
-		c.row = 1
+		if c == b.origin {
+			b.row = 1
+		}
 		c.span[min(bits.Len(uint(taken/b.Tick)), len(c.span)-1)]++
 		if taken > inTime {
 			b.cut(c, now, 0.95)
@@ -601,10 +603,13 @@
 	case Full:
 		b.cut(c, now, 0.8)
 	case TimedOut, Errored:
-		// What goes on with work that nobody waits for stays jammed unless all back off at once: each failure
-		// in a row cuts deeper.
-		c.row *= 0.5
-		b.cut(c, now, 0.7*2*c.row)
+		by := 0.7
+		if c == b.origin {
+			// It goes on with work that nobody waits for, and stays jammed unless all back off at once: each
+			// failure in a row cuts deeper.
+			by, b.row = 0.7*b.row, b.row/2
+		}
+		b.cut(c, now, by)
 		if !c.shared && b.sick(c) {
 			b.suspend(c, now)
 		}
