--- a/policy/policy.go
+++ b/policy/policy.go
@@ -414,9 +414,12 @@
 			choices[0], choices[first] = choices[first], choices[0]
 		}
 	}
+	// While the origin has room for a miss, a choice at its limit is passed over like one that is not ready.
+	spare := b.origin != nil && b.origin.limit >= 1 && float64(b.origin.out) <= b.origin.limit/2 &&
+		b.strain < calm+0.25 && o.beyond == 0
 	for _, c := range choices {
 		mean := float64(total) * c.Weight / weight // in proportion to its size
-		if b.allowed(o, c, now) && float64(c.out) <= max(2*mean, mean+2) {
+		if b.allowed(o, c, now) && float64(c.out) <= max(2*mean, mean+2) && (!spare || b.room(c, o)) {
 			return c
 		}
 	}
