--- /dev/null
+++ b/cmd/minttray/main.go
@@ -0,0 +1,115 @@
+// Command minttray is one proxy of a fleet of cache servers.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"minttray/internal/caches"
+	"minttray/internal/config"
+	"minttray/internal/discovery"
+	"minttray/internal/engine"
+	"minttray/internal/front"
+	"minttray/internal/logs"
+	"minttray/internal/origin"
+	"minttray/internal/pool"
+)
+
+const (
+	stillComing = 450 * time.Millisecond // clients that connect after SIGTERM
+	longestEnd  = 4 * time.Second        // more than the longest TTL
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "minttray:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	c, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	if c.Cores > 0 {
+		runtime.GOMAXPROCS(max(int(c.Cores+0.5), 1))
+	}
+	memory := int64(c.MemoryMB) << 20
+	if memory > 0 {
+		debug.SetMemoryLimit(memory * 3 / 4)
+	} else {
+		memory = 1 << 30
+	}
+	log, sink := logs.New(os.Stderr)
+	defer sink.Close()
+	log = log.With().Str("proxy", c.Name).Logger()
+
+	s := c.Settings
+	shared := &pool.Shared{Dial: s.ConnectTimeout, Idle: s.IdleServer, Sockets: int64(c.Sockets) * 3 / 8, Log: log}
+	if shared.Dial == 0 {
+		shared.Dial = time.Second
+	}
+	maxOps := s.MaxOpen
+	if maxOps <= 0 {
+		maxOps = 1 << 16
+	}
+	e := engine.New(engine.Options{Settings: s.Policy, Seed: c.Seed, Logger: log, MaxOps: maxOps, MaxBytes: memory / 4,
+		Connect: func(m engine.Member) engine.Server {
+			if m.Kind == s.Policy.OriginKind {
+				return pool.New(shared, m.Addr, origin.Protocol{Host: m.Addr})
+			}
+			return pool.New(shared, m.Addr, caches.Protocol{})
+		}})
+	names := discovery.NewNames(s.Zones, s.Kinds, log)
+	watch := discovery.New(c.Discovery, names, s.Policy.AskList, log)
+	watch.Tell = e.List
+	known, err := watch.Known(c.Known)
+	if err != nil {
+		return fmt.Errorf("known: %w", err)
+	}
+	f := &front.Front{Engine: e, Names: front.NewNames(s.Categories, s.Tenants), Conns: c.Sockets / 2, Log: log}
+	if err := f.Listen(c.Listen); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	e.Start(watch, known)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	stop := make(chan struct{})
+	go e.Run(stop)
+	go watch.Run(ctx)
+	go f.Serve()
+	log.Info().Str("listen", c.Listen).Int("known", len(known)).Msg("serving")
+
+	counters := func() {
+		done := make(chan struct{})
+		e.Do(func(e *engine.Engine) {
+			log.Info().Object("engine", &e.Counters).Object("clients", f).Object("servers", shared).Msg("counters")
+			close(done)
+		})
+		<-done
+	}
+	for sig := range signals {
+		if sig == syscall.SIGUSR1 {
+			counters()
+			continue
+		}
+		break
+	}
+	log.Info().Msg("stopping")
+	if left := f.Stop(stillComing, longestEnd); left > 0 {
+		log.Error().Int("connections", left).Msg("stopped with clients still connected")
+	}
+	counters()
+	close(stop)
+	log.Info().Msg("stopped")
+	return nil
+}
--- /dev/null
+++ b/internal/buffer/buffer.go
@@ -0,0 +1,52 @@
+// Package buffer holds the one buffer that a connection reads into.
+package buffer
+
+import "io"
+
+const (
+	least = 4 << 10  // first size
+	kept  = 16 << 10 // an empty buffer over this is let go, so that a fleet of idle connections stays small
+)
+
+// Buffer grows as it needs and is compacted in place. Its zero value is ready.
+type Buffer struct {
+	b        []byte
+	from, to int
+}
+
+// Bytes is what was read and not yet taken; it is valid until the next Fill or Take.
+func (b *Buffer) Bytes() []byte { return b.b[b.from:b.to] }
+
+// Take drops the first n bytes.
+func (b *Buffer) Take(n int) {
+	if b.from += n; b.from == b.to {
+		b.from, b.to = 0, 0
+		if len(b.b) > kept {
+			b.b = nil
+		}
+	}
+}
+
+// Fill reads once, waiting for at least a byte. It grows only when full: memory follows what has really come,
+// never a length that the other side has merely announced.
+func (b *Buffer) Fill(r io.Reader) error {
+	if b.to == len(b.b) {
+		if b.from > 0 {
+			b.to = copy(b.b, b.b[b.from:b.to])
+			b.from = 0
+		} else {
+			grown := make([]byte, max(2*len(b.b), least))
+			copy(grown, b.b[:b.to])
+			b.b = grown
+		}
+	}
+	n, err := r.Read(b.b[b.to:])
+	b.to += n
+	if n > 0 {
+		return nil
+	}
+	if err == nil {
+		err = io.ErrNoProgress
+	}
+	return err
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,99 @@
+// Package config holds what a proxy is told at its start: environment and JSON file.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"minttray/internal/settings"
+)
+
+// Config is one proxy's configuration.
+type Config struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	Cores                   float64
+	MemoryMB, Sockets       int
+	Known                   json.RawMessage // the list as last had, in discovery's form
+	Settings                settings.Settings
+}
+
+type file struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int     `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+const leastSockets = 64 // listener, runtime, discovery, and a few for each side
+
+// Load reads the environment through get and the file that it names. Each error names the field.
+func Load(get func(string) string) (Config, error) {
+	var c Config
+	path := get("BALANCER_CONFIG")
+	if path == "" {
+		return c, fmt.Errorf("BALANCER_CONFIG: not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return c, fmt.Errorf("BALANCER_CONFIG: %w", err)
+	}
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		return c, fmt.Errorf("BALANCER_CONFIG: %s: %w", path, err)
+	}
+	for _, field := range []struct {
+		name, variable string
+		in             string
+		out            *string
+	}{
+		{"name", "BALANCER_NAME", f.Name, &c.Name},
+		{"listen", "BALANCER_LISTEN", f.Listen, &c.Listen},
+		{"discovery", "BALANCER_DISCOVERY", f.Discovery, &c.Discovery},
+	} {
+		told := get(field.variable)
+		if told != "" && field.in != "" && told != field.in {
+			return c, fmt.Errorf("%s: the file says %q, %s says %q", field.name, field.in, field.variable, told)
+		}
+		if *field.out = field.in; field.in == "" {
+			*field.out = told
+		}
+		if *field.out == "" {
+			return c, fmt.Errorf("%s: missing", field.name)
+		}
+		if field.name != "name" {
+			if _, _, err := net.SplitHostPort(*field.out); err != nil {
+				return c, fmt.Errorf("%s: %w", field.name, err)
+			}
+		}
+	}
+	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return c, fmt.Errorf("seed: %q is not a hexadecimal number of 64 bits", f.Seed)
+	}
+	c.Cores, c.MemoryMB, c.Sockets = f.Limits.Cores, f.Limits.MemoryMB, f.Limits.Sockets
+	switch {
+	case c.Cores < 0:
+		return c, fmt.Errorf("limits.cores: %v is below 0", c.Cores)
+	case c.MemoryMB < 0:
+		return c, fmt.Errorf("limits.memory_mb: %d is below 0", c.MemoryMB)
+	case c.Sockets < leastSockets:
+		return c, fmt.Errorf("limits.sockets: %d is below %d", c.Sockets, leastSockets)
+	case len(f.Settings) == 0:
+		return c, fmt.Errorf("settings: missing")
+	}
+	c.Known = f.Known
+	if c.Settings, err = settings.Decode(f.Settings); err != nil {
+		return c, err
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/discovery/entries.go
@@ -0,0 +1,135 @@
+package discovery
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"net"
+	"strconv"
+
+	"github.com/rs/zerolog"
+
+	"minttray/internal/engine"
+	"minttray/policy"
+)
+
+type document struct {
+	Generation *uint64    `json:"generation"`
+	Reset      bool       `json:"reset"`
+	Instances  []instance `json:"instances"`
+}
+
+type instance struct {
+	ID        string   `json:"instanceId"`
+	Addr      string   `json:"hostPort"`
+	Zone      string   `json:"zone"`
+	Machine   string   `json:"machineType"`
+	Cell      int      `json:"cell"`
+	Lifecycle string   `json:"lifecycle"`
+	Weight    *float64 `json:"weight"`
+	Started   int64    `json:"startedAtMs"`
+}
+
+var states = map[string]policy.State{"active": policy.Ready, "leaving": policy.Draining, "left": policy.Gone}
+
+// Names maps what the list names to the module's numbers, steadily.
+type Names struct {
+	zones, kinds map[string]int
+	ids          map[string]uint32
+	taken        map[uint32]string
+	log          zerolog.Logger
+}
+
+// NewNames takes the names in the settings' order.
+func NewNames(zones, kinds []string, log zerolog.Logger) *Names {
+	n := &Names{map[string]int{}, map[string]int{}, map[string]uint32{}, map[uint32]string{}, log}
+	for _, z := range zones {
+		n.zones[z] = len(n.zones)
+	}
+	for _, k := range kinds {
+		n.kinds[k] = len(n.kinds)
+	}
+	return n
+}
+
+// number is a cache's number: the same at every proxy and after every restart, since a cache's bucket hangs on it.
+func (n *Names) number(id string) uint32 {
+	if number, ok := n.ids[id]; ok {
+		return number
+	}
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	number := uint32(h.Sum64() ^ h.Sum64()>>32)
+	for n.taken[number] != "" {
+		number++
+	}
+	n.ids[id], n.taken[number] = number, id
+	return number
+}
+
+func index(names map[string]int, name string) int {
+	i, ok := names[name]
+	if !ok { // a name that the settings lack gets a number of its own
+		i = len(names)
+		names[name] = i
+	}
+	return i
+}
+
+// decode reads a document. Bad entries are passed over, with one line for all of them.
+func (n *Names) decode(text []byte) (doc document, members []engine.Member, err error) {
+	if err := json.Unmarshal(text, &doc); err != nil {
+		return doc, nil, err
+	}
+	if doc.Generation == nil {
+		return doc, nil, fmt.Errorf("no generation")
+	}
+	at, bad, last := map[string]int{}, 0, error(nil)
+	for _, in := range doc.Instances {
+		m, err := n.member(in)
+		if err != nil {
+			bad, last = bad+1, err
+			continue
+		}
+		if i, twice := at[in.ID]; twice {
+			bad, last = bad+1, fmt.Errorf("%s stands there twice", in.ID)
+			members[i] = m // the later word counts
+			continue
+		}
+		at[in.ID] = len(members)
+		members = append(members, m)
+	}
+	if bad > 0 {
+		n.log.Warn().Int("entries", bad).AnErr("last", last).Msg("entries of the list passed over")
+	}
+	return doc, members, nil
+}
+
+func (n *Names) member(in instance) (engine.Member, error) {
+	m := engine.Member{Addr: in.Addr}
+	state, ok := states[in.Lifecycle]
+	if in.ID == "" {
+		return m, fmt.Errorf("an entry without an id")
+	}
+	if !ok {
+		return m, fmt.Errorf("%s: unknown lifecycle %q", in.ID, in.Lifecycle)
+	}
+	if _, port, err := net.SplitHostPort(in.Addr); state != policy.Gone {
+		if err != nil {
+			return m, fmt.Errorf("%s: %w", in.ID, err)
+		}
+		if p, err := strconv.ParseUint(port, 10, 16); err != nil || p == 0 {
+			return m, fmt.Errorf("%s: no port in %q", in.ID, in.Addr)
+		}
+	}
+	m.Entry = policy.Entry{ID: n.number(in.ID), Zone: index(n.zones, in.Zone), Kind: index(n.kinds, in.Machine),
+		Cell: in.Cell, State: state, Weight: 1}
+	if in.Weight != nil && *in.Weight > 0 && !math.IsInf(*in.Weight, 0) {
+		m.Weight = *in.Weight
+	}
+	if in.Started > 0 && in.Started < 1<<52 {
+		m.Start = policy.Time(in.Started*10 + 9) // the end of that millisecond: never older than it is
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/engine/counters.go
@@ -0,0 +1,35 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"minttray/policy"
+)
+
+// Counters belong to the engine's goroutine; read them through Do.
+type Counters struct {
+	Taken, Acked, Nacked, DeadLettered int
+	Left                               int // clients gone before their answer
+	Overdue, Late                      int // both stay 0 while the module keeps its contract
+	Sent                               int
+	Pushes                             [policy.Miss + 1]int // by outcome
+	Lists                              int
+	Longest                            int // queue length
+	Delay, Stall                       time.Duration
+}
+
+var outcomeNames = [policy.Miss + 1]string{"acked", "errored", "full", "timed_out", "connect_failed", "broken",
+	"cancelled", "moot", "miss"}
+
+// MarshalZerologObject writes the counters into a log line.
+func (c *Counters) MarshalZerologObject(l *zerolog.Event) {
+	l.Int("taken", c.Taken).Int("acked", c.Acked).Int("nacked", c.Nacked).Int("dead_lettered", c.DeadLettered).
+		Int("left", c.Left).Int("overdue", c.Overdue).Int("late", c.Late).Int("sent", c.Sent)
+	for i, n := range c.Pushes {
+		l.Int("push_"+outcomeNames[i], n)
+	}
+	l.Int("lists", c.Lists).Int("queue_longest", c.Longest).
+		Float64("queue_delay_ms", c.Delay.Seconds()*1000).Float64("stall_ms", c.Stall.Seconds()*1000)
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,264 @@
+package engine
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"minttray/policy"
+)
+
+const (
+	unit    = 100 * time.Microsecond // of policy.Time
+	overdue = 200                    // policy.Time after an op's TTL at which the engine ends it by itself
+)
+
+// Options is what an engine is made of.
+type Options struct {
+	Settings policy.Settings
+	Seed     uint64
+	Connect  func(m Member) Server
+	Logger   zerolog.Logger
+	MaxOps   int   // held at once
+	MaxBytes int64 // of requests held at once
+}
+
+// Engine is the module's host. All fields below the queue belong to its goroutine.
+type Engine struct {
+	Options
+	Counters Counters
+	queue    queue
+	ops      atomic.Int64 // held, from Submit to the last push's end
+	bytes    atomic.Int64
+
+	module  *policy.Balancer
+	catalog Catalog
+	origin  time.Time   // of the monotonic clock
+	offset  policy.Time // origin, since 1970
+	now     policy.Time // stands still while one event is handled
+	timers  timers
+	later   []func() // what a host call brought about at once: told after the module has returned
+	held    map[uint32]*op
+	lastID  uint32
+	servers map[uint32]*server
+}
+
+type server struct {
+	Server
+	addr string
+}
+
+type op struct {
+	*Op
+	id   uint32
+	ttl  policy.Time
+	n    int // pushes so far
+	out  []*push
+	over bool // answered, or its client has left
+	size int64
+}
+
+type push struct {
+	n      int
+	at     policy.Time
+	giveUp func()
+}
+
+// New makes an engine; Run starts it.
+func New(o Options) *Engine {
+	e := &Engine{Options: o, held: map[uint32]*op{}, servers: map[uint32]*server{}, origin: time.Now()}
+	e.queue.wake = make(chan struct{}, 1)
+	// The clock counts from 1970, so that a cache's start needs no shift; it is read once and then only runs on
+	// monotonically, whatever is done to the machine's clock.
+	e.offset = policy.Time(e.origin.UnixNano() / int64(unit))
+	e.now = e.offset
+	return e
+}
+
+// Start makes the module and tells it the list as last had. It comes before Run and before the first op.
+func (e *Engine) Start(catalog Catalog, known []Member) {
+	e.catalog = catalog
+	e.module = policy.New(e.Settings, e.Seed, e)
+	e.list(policy.ListCached, known)
+	e.settle()
+}
+
+// Run serves until stop is closed.
+func (e *Engine) Run(stop <-chan struct{}) {
+	clock := time.NewTimer(time.Hour)
+	defer clock.Stop()
+	var events []event
+	for {
+		if len(e.timers.heap) > 0 {
+			clock.Reset(max(e.wall(e.timers.heap[0].at).Sub(time.Now()), 0))
+		}
+		select {
+		case <-stop:
+			return
+		case <-e.queue.wake:
+		case <-clock.C:
+		}
+		events = e.queue.take(events)
+		e.Counters.Longest = max(e.Counters.Longest, len(events))
+		from := time.Now()
+		for i, ev := range events {
+			e.Counters.Delay = max(e.Counters.Delay, time.Since(ev.at))
+			e.handle(ev.do)
+			events[i] = event{}
+			e.fire()
+		}
+		e.fire()
+		e.Counters.Stall = max(e.Counters.Stall, time.Since(from))
+	}
+}
+
+func (e *Engine) fire() {
+	for do := e.timers.due(e.read()); do != nil; do = e.timers.due(e.now) {
+		e.handle(do)
+	}
+}
+
+func (e *Engine) read() policy.Time {
+	e.now = e.offset + policy.Time(time.Since(e.origin)/unit)
+	return e.now
+}
+
+// wall is the first moment at which the clock shows t.
+func (e *Engine) wall(t policy.Time) time.Time { return e.origin.Add(time.Duration(t-e.offset) * unit) }
+
+func (e *Engine) handle(do func()) {
+	e.read()
+	do()
+	e.settle()
+}
+
+func (e *Engine) settle() {
+	for i := 0; i < len(e.later); i++ {
+		e.later[i]()
+	}
+	clear(e.later)
+	e.later = e.later[:0]
+}
+
+// Do runs f on the engine's goroutine.
+func (e *Engine) Do(f func(*Engine)) { e.queue.put(func() { f(e) }) }
+
+// Idle tells whether nothing is held.
+func (e *Engine) Idle() bool { return e.ops.Load() == 0 }
+
+// Submit hands an op in. If it returns false, too much is held: the op was not taken, and the front turns it away.
+func (e *Engine) Submit(o *Op) bool {
+	size := int64(len(o.Request.Value) + len(o.Request.Props) + len(o.Request.Key) + len(o.Request.ID))
+	ops, bytes := e.ops.Add(1), e.bytes.Add(size)
+	if ops > int64(e.MaxOps) || bytes > e.MaxBytes {
+		e.ops.Add(-1)
+		e.bytes.Add(-size)
+		return false
+	}
+	e.queue.put(func() { e.arrived(o, size) })
+	return true
+}
+
+// Leave tells that an op's client has gone away.
+func (e *Engine) Leave(o *Op) {
+	e.queue.put(func() {
+		if h := o.held; h != nil && !h.over {
+			e.Counters.Left++
+			e.end(h)
+			e.module.ClientLeft(h.id)
+			e.forget(h)
+		}
+	})
+}
+
+func (e *Engine) arrived(o *Op, size int64) {
+	at := e.offset + policy.Time(o.At.Sub(e.origin)/unit)
+	h := &op{Op: o, ttl: at + policy.Time(o.Left/unit), size: size}
+	for {
+		e.lastID++
+		if e.held[e.lastID] == nil && e.lastID != 0 {
+			break
+		}
+	}
+	h.id = e.lastID
+	e.held[h.id], o.held = h, h
+	e.Counters.Taken++
+	e.timers.set(h.ttl+overdue, func() { e.expire(h) })
+	e.module.OpArrived(h.id, o.Key, o.Category, o.Tenant, o.Request.Write, max(h.ttl-e.now, 0))
+	e.forget(h)
+}
+
+// expire is the last net under rule 1: the module answers by the TTL at the latest, and this is never reached
+// while it does.
+func (e *Engine) expire(h *op) {
+	if h.over {
+		return
+	}
+	e.Counters.Overdue++
+	e.Logger.Error().Str("op", h.Request.ID).Msg("op not answered by its TTL")
+	e.end(h)
+	h.Reply.DeadLettered()
+	e.module.ClientLeft(h.id)
+	e.forget(h)
+}
+
+// end marks an op as over: the one place through which each op goes once.
+func (e *Engine) end(h *op) { h.over = true }
+
+// forget lets go of an op that is over and has nothing out.
+func (e *Engine) forget(h *op) {
+	if h.over && len(h.out) == 0 && e.held[h.id] == h {
+		delete(e.held, h.id)
+		h.Request.Value = nil
+		e.ops.Add(-1)
+		e.bytes.Add(-h.size)
+	}
+}
+
+// ended takes a push's one outcome.
+func (e *Engine) ended(h *op, p *push, r Result) {
+	at := -1
+	for i := range h.out {
+		if h.out[i] == p {
+			at = i
+		}
+	}
+	if at < 0 {
+		return // given up before: its outcome was told then
+	}
+	h.out = append(h.out[:at], h.out[at+1:]...)
+	e.Counters.Pushes[r.Outcome]++
+	if r.Outcome == policy.Acked && !h.over {
+		e.Counters.Acked++
+		e.end(h)
+		h.Reply.Acked(r.Value)
+	}
+	if r.Err != nil {
+		e.Logger.Debug().Err(r.Err).Str("op", h.Request.ID).Int("push", p.n).Msg("push failed")
+	}
+	e.module.PushEnded(h.id, p.n, r.Outcome, r.Missed, h.over, e.now-p.at)
+	e.forget(h)
+}
+
+// List tells what discovery has said. It may be called from any goroutine.
+func (e *Engine) List(kind policy.ListKind, members []Member) {
+	e.queue.put(func() { e.list(kind, members) })
+}
+
+func (e *Engine) list(kind policy.ListKind, members []Member) {
+	e.Counters.Lists++
+	entries := make([]policy.Entry, 0, len(members))
+	for _, m := range members {
+		entries = append(entries, m.Entry)
+		s := e.servers[m.ID]
+		if m.State == policy.Gone || s != nil && s.addr == m.Addr {
+			continue
+		}
+		if s != nil {
+			s.Retire() // the same cache elsewhere: what is out ends, new pushes go to the new address
+		}
+		e.servers[m.ID] = &server{e.Connect(m), m.Addr}
+	}
+	e.module.ListArrived(kind, entries)
+}
--- /dev/null
+++ b/internal/engine/host.go
@@ -0,0 +1,108 @@
+package engine
+
+import (
+	"time"
+
+	"minttray/policy"
+)
+
+// Now is the clock reading of the event in hand.
+func (e *Engine) Now() policy.Time { return e.now }
+
+// Push sends an op to a server, or tells the module afterwards why it could not be sent.
+func (e *Engine) Push(id, cache uint32, until policy.Time) {
+	h := e.held[id]
+	if h == nil {
+		return
+	}
+	p := &push{n: h.n, at: e.now, giveUp: func() {}}
+	h.n++
+	h.out = append(h.out, p)
+	if until == 0 || until > h.ttl {
+		until = h.ttl
+	}
+	s := e.servers[cache]
+	if h.over || h.n > e.Settings.MostPushes || until <= e.now || s == nil {
+		e.later = append(e.later, func() { e.ended(h, p, Result{Outcome: policy.Moot}) })
+		return
+	}
+	e.Counters.Sent++
+	p.giveUp = s.Push(&h.Request, e.wall(until), func(r Result) {
+		e.queue.put(func() { e.ended(h, p, r) })
+	})
+	e.timers.set(until, func() { e.drop(h, p, policy.TimedOut) })
+}
+
+// drop gives up a push that is still out. Its connection is closed before the module hears of it: no second
+// copy may be written while the first is out on an open connection.
+func (e *Engine) drop(h *op, p *push, how policy.Outcome) {
+	for _, o := range h.out {
+		if o == p {
+			p.giveUp()
+			e.ended(h, p, Result{Outcome: how})
+			return
+		}
+	}
+}
+
+// Cancel gives up a push; its outcome follows once the module has returned.
+func (e *Engine) Cancel(id uint32, n int) {
+	if h := e.held[id]; h != nil {
+		for _, p := range h.out {
+			if p.n == n {
+				p.giveUp()
+				e.later = append(e.later, func() { e.drop(h, p, policy.Cancelled) })
+			}
+		}
+	}
+}
+
+// Nack answers that a retry is safe.
+func (e *Engine) Nack(id uint32, comeBack policy.Time) {
+	if h := e.open(id); h != nil {
+		e.Counters.Nacked++
+		e.end(h)
+		h.Reply.Nacked(time.Duration(max(comeBack, 0)) * unit)
+		e.later = append(e.later, func() { e.forget(h) })
+	}
+}
+
+// DeadLetter answers with no promise about the op's effect.
+func (e *Engine) DeadLetter(id uint32) {
+	if h := e.open(id); h != nil {
+		e.Counters.DeadLettered++
+		e.end(h)
+		h.Reply.DeadLettered()
+		e.later = append(e.later, func() { e.forget(h) })
+	}
+}
+
+// open finds an op that still owes its answer.
+func (e *Engine) open(id uint32) *op {
+	if h := e.held[id]; h != nil && !h.over {
+		return h
+	}
+	e.Counters.Late++
+	return nil
+}
+
+// Timer gives a token back after a span.
+func (e *Engine) Timer(token uint64, after policy.Time) {
+	e.timers.set(e.now+max(after, 1), func() { e.module.TimerDue(token) })
+}
+
+// Tell: proxies on sockets have no way to talk to each other yet; a message to peers may be lost.
+func (e *Engine) Tell([]byte) {}
+
+// Watch switches the list's watch.
+func (e *Engine) Watch(on bool) { e.catalog.Watch(on) }
+
+// Close closes idle connections to a cache.
+func (e *Engine) Close(cache uint32) {
+	if s := e.servers[cache]; s != nil {
+		s.Release()
+	}
+}
+
+// Log writes the module's text.
+func (e *Engine) Log(text string) { e.Logger.Info().Str("from", "module").Msg(text) }
--- /dev/null
+++ b/internal/engine/timers.go
@@ -0,0 +1,45 @@
+package engine
+
+import (
+	"container/heap"
+
+	"minttray/policy"
+)
+
+type timer struct {
+	at  policy.Time
+	seq uint64 // timers due at one moment fire in the order in which they were set
+	do  func()
+}
+
+type timers struct {
+	heap []timer
+	seq  uint64
+}
+
+func (t *timers) Len() int { return len(t.heap) }
+func (t *timers) Less(i, j int) bool {
+	a, b := &t.heap[i], &t.heap[j]
+	return a.at < b.at || a.at == b.at && a.seq < b.seq
+}
+func (t *timers) Swap(i, j int) { t.heap[i], t.heap[j] = t.heap[j], t.heap[i] }
+func (t *timers) Push(x any)    { t.heap = append(t.heap, x.(timer)) }
+func (t *timers) Pop() any {
+	last := t.heap[len(t.heap)-1]
+	t.heap[len(t.heap)-1] = timer{}
+	t.heap = t.heap[:len(t.heap)-1]
+	return last
+}
+
+func (t *timers) set(at policy.Time, do func()) {
+	t.seq++
+	heap.Push(t, timer{at, t.seq, do})
+}
+
+// due takes the first timer if its time has come.
+func (t *timers) due(now policy.Time) func() {
+	if len(t.heap) == 0 || t.heap[0].at > now {
+		return nil
+	}
+	return heap.Pop(t).(timer).do
+}
--- /dev/null
+++ b/internal/engine/types.go
@@ -0,0 +1,64 @@
+// Package engine owns the decision module: one goroutine runs it, and all else reaches it through one queue.
+// It speaks ops, pushes and outcomes; what they look like on a wire is its callers' business.
+package engine
+
+import (
+	"time"
+
+	"minttray/policy"
+)
+
+// Request is what goes on to a server, apart from its form on the wire.
+type Request struct {
+	Key, ID string
+	Write   bool
+	Props   string // name=value,name=value as the client sent them
+	Wait    [2]int // where in Props the client's waiting time stands, in milliseconds
+	Value   []byte
+}
+
+// Op is one op as a front takes it.
+type Op struct {
+	At               time.Time // when its last byte could be read: its time counts from here
+	Left             time.Duration
+	Key              uint64 // 0: none
+	Category, Tenant int
+	Request          Request
+	Reply            Replier
+
+	held *op // the engine's record, once it has one
+}
+
+// Replier takes an op's one final answer. Its methods are called on the engine's goroutine and must not block.
+type Replier interface {
+	Acked(value []byte)
+	Nacked(comeBack time.Duration) // 0: no advice
+	DeadLettered()
+}
+
+// Result is how a push ended.
+type Result struct {
+	Outcome policy.Outcome
+	Missed  bool // the cache said that it had to fetch
+	Value   []byte
+	Err     error // for the log
+}
+
+// Server is one cache or origin. None of its methods may block.
+type Server interface {
+	// Push sends a request; until is how long the answer is waited for. The result comes once through done, on
+	// another goroutine. After the function returned here has been called, the push is no longer out on an
+	// open connection, and its result, if one still comes, counts for nothing.
+	Push(r *Request, until time.Time, done func(Result)) (giveUp func())
+	Release() // closes idle connections
+	Retire()  // closes idle connections, and the others once their push has ended
+}
+
+// Member is one entry of the list, with the address that this proxy reaches it by.
+type Member struct {
+	policy.Entry
+	Addr string
+}
+
+// Catalog is the list service, as the module may switch it on and off. It must not block.
+type Catalog interface{ Watch(on bool) }
--- /dev/null
+++ b/internal/front/command.go
@@ -0,0 +1,154 @@
+package front
+
+import (
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"minttray/internal/engine"
+)
+
+const (
+	longestValue = 64 << 10
+	longestRest  = 4 << 10 // of a command, beside its value
+	longestName  = 1 << 10 // key or id
+	longestWait  = time.Hour
+)
+
+var errFraming = errors.New("protocol error")
+
+// next takes a whole command off b; n is 0 while some of it is missing. An error means that the framing is lost.
+func next(b []byte, args [][]byte) (n int, words [][]byte, err error) {
+	defer func() {
+		if recover() != nil { // redcon's parser runs over its input on absurd lengths
+			n, words, err = 0, nil, errFraming
+		}
+	}()
+	whole, words, kind, rest, err := redcon.ReadNextCommand(b, args)
+	switch {
+	case err != nil:
+		return 0, nil, err
+	case kind == redcon.Tile38:
+		return 0, nil, errFraming
+	case !whole:
+		if len(b) > longestValue+longestRest {
+			return 0, nil, fmt.Errorf("command longer than %d bytes", longestValue+longestRest)
+		}
+		return 0, nil, nil
+	}
+	return len(b) - len(rest), words, nil
+}
+
+// Names maps what commands name to the module's numbers.
+type Names struct{ categories, tenants map[string]int }
+
+// NewNames takes the names in the module's order.
+func NewNames(categories, tenants []string) Names {
+	n := Names{map[string]int{}, map[string]int{}}
+	for i, name := range categories {
+		n.categories[name] = i
+	}
+	for i, name := range tenants {
+		n.tenants[name] = i
+	}
+	return n
+}
+
+// parse makes an op of a command's words. The error says what is wrong, for the client.
+func (n Names) parse(words [][]byte, write bool) (*engine.Op, error) {
+	want := 4
+	if write {
+		want = 5
+	}
+	if len(words) != want {
+		return nil, fmt.Errorf("wrong number of arguments: %d words wanted, %d came", want, len(words))
+	}
+	o := &engine.Op{Tenant: len(n.tenants)}
+	o.Request = engine.Request{Key: string(words[1]), ID: string(words[2]), Props: string(words[3]), Write: write}
+	for i, name := range []string{o.Request.Key, o.Request.ID} {
+		if !plain(name) {
+			return nil, fmt.Errorf("%s is empty, too long or not plain text", []string{"key", "id"}[i])
+		}
+	}
+	if strings.ContainsAny(o.Request.Props, "\r\n") {
+		return nil, errors.New("line break in the properties")
+	}
+	if write {
+		if len(words[4]) > longestValue {
+			return nil, fmt.Errorf("value of %d bytes, at most %d", len(words[4]), longestValue)
+		}
+		o.Request.Value = append([]byte(nil), words[4]...)
+	}
+	o.Key = hash(o.Request.Key)
+	return o, n.properties(o)
+}
+
+func (n Names) properties(o *engine.Op) error {
+	category, wait, tenant := false, false, false
+	for at := 0; at <= len(o.Request.Props); {
+		end := strings.IndexByte(o.Request.Props[at:], ',')
+		if end < 0 {
+			end = len(o.Request.Props)
+		} else {
+			end += at
+		}
+		name, value, _ := strings.Cut(o.Request.Props[at:end], "=")
+		var ok bool
+		switch name {
+		case "c":
+			if o.Category, ok = n.categories[value]; !ok || category {
+				return fmt.Errorf("unknown or repeated class %q", value)
+			}
+			category = true
+		case "t":
+			if o.Tenant, ok = n.tenants[value]; !ok || tenant {
+				return fmt.Errorf("unknown or repeated tenant %q", value)
+			}
+			tenant = true
+		case "d":
+			ms, err := strconv.ParseFloat(value, 64)
+			if err != nil || wait || !(ms > 0) || ms > float64(longestWait/time.Millisecond) {
+				return fmt.Errorf("d=%s is no waiting time in milliseconds", value)
+			}
+			o.Left = time.Duration(math.Floor(ms * float64(time.Millisecond)))
+			o.Request.Wait = [2]int{end - len(value), end}
+			wait = true
+		}
+		at = end + 1
+	}
+	switch {
+	case !category:
+		return errors.New("class (c) missing")
+	case !wait:
+		return errors.New("waiting time (d) missing")
+	}
+	return nil
+}
+
+// plain tells whether a key or id can stand in a path and a header as it is.
+func plain(s string) bool {
+	for i := 0; i < len(s); i++ {
+		if s[i] <= ' ' || s[i] >= 0x7f {
+			return false
+		}
+	}
+	return s != "" && len(s) <= longestName
+}
+
+// hash is a key's number: itself where it is one, else its hash. 0 would mean no key.
+func hash(key string) uint64 {
+	if len(key) == 16 {
+		if n, err := strconv.ParseUint(key, 16, 64); err == nil && n != 0 {
+			return n
+		}
+	}
+	h := fnv.New64a()
+	h.Write([]byte(key))
+	return max(h.Sum64(), 1)
+}
--- /dev/null
+++ b/internal/front/conn.go
@@ -0,0 +1,297 @@
+package front
+
+import (
+	"errors"
+	"net"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"minttray/internal/buffer"
+	"minttray/internal/engine"
+)
+
+const (
+	mostWaiting = 1024             // commands of one connection that wait for their answers
+	mostPiled   = 1 << 20          // bytes of answers that one client hasn't read
+	halfCommand = 10 * time.Second // after which a command that stays half is given up
+	slowClient  = 10 * time.Second // for one write
+	linger      = 300 * time.Millisecond
+)
+
+// conn is one client's connection. One goroutine reads commands, one writes answers in the commands' order.
+type conn struct {
+	front *Front
+	nc    net.Conn
+	buf   buffer.Buffer // the reader's
+
+	mu     sync.Mutex
+	slots  []*slot // by command; not yet written
+	piled  int     // bytes of answers not yet written
+	used   time.Time
+	room   sync.Cond // the reader waits for it while too much is piled up
+	wake   chan struct{}
+	ending bool // closed as soon as all that was read is answered
+	ended  bool
+}
+
+// slot is one command's place in the order of answers. It is the op's Replier.
+type slot struct {
+	c      *conn
+	op     *engine.Op // nil for what needs no op
+	answer []byte     // nil until there is one
+}
+
+func (s *slot) Acked(value []byte) {
+	s.put(&s.c.front.acked, redcon.AppendBulk(make([]byte, 0, len(value)+16), value))
+}
+
+func (s *slot) Nacked(comeBack time.Duration) {
+	if ms := int64((comeBack + time.Millisecond - 1) / time.Millisecond); ms > 0 {
+		s.put(&s.c.front.nacked, []byte("-BUSY "+strconv.FormatInt(ms, 10)+"\r\n"))
+		return
+	}
+	s.put(&s.c.front.nacked, []byte("-BUSY\r\n"))
+}
+
+func (s *slot) DeadLettered() {
+	s.put(&s.c.front.deadLettered, []byte("-ERR dead-lettered: it may have run\r\n"))
+}
+
+func (s *slot) put(counter *atomic.Int64, answer []byte) {
+	counter.Add(1)
+	c := s.c
+	c.mu.Lock()
+	s.answer = answer
+	c.piled += len(answer)
+	first := len(c.slots) > 0 && c.slots[0] == s
+	c.mu.Unlock()
+	if first {
+		c.signal()
+	}
+}
+
+func (c *conn) signal() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+func newConn(f *Front, nc net.Conn) *conn {
+	c := &conn{front: f, nc: nc, wake: make(chan struct{}, 1), used: time.Now()}
+	c.room.L = &c.mu
+	return c
+}
+
+// read takes commands until the client goes away or the framing is lost. It goes on while ops are open, so that
+// the engine hears at once of a client that has left.
+func (c *conn) read() {
+	defer func() {
+		if fault := recover(); fault != nil {
+			c.front.panics.Add(1)
+			c.front.Log.Error().Interface("panic", fault).Str("client", c.nc.RemoteAddr().String()).
+				Bytes("stack", debug.Stack()).Msg("panic on a client's connection")
+			c.drop()
+		}
+	}()
+	args := make([][]byte, 0, 8)
+	for {
+		if err := c.buf.Fill(c.nc); err != nil {
+			c.mu.Lock()
+			ending := c.ending
+			c.mu.Unlock()
+			if ending && errors.Is(err, os.ErrDeadlineExceeded) {
+				return // the writer closes it, once all is answered
+			}
+			c.drop()
+			return
+		}
+		at := time.Now()
+		for {
+			n, words, err := next(c.buf.Bytes(), args)
+			if err != nil {
+				// Nothing that follows can be told apart any more: what was taken is answered, then it ends.
+				c.refuse(err)
+				c.finish()
+				return
+			}
+			if n == 0 {
+				break
+			}
+			if len(words) > 0 && !c.command(words, at) {
+				return
+			}
+			c.buf.Take(n)
+		}
+		if len(c.buf.Bytes()) > 0 {
+			c.nc.SetReadDeadline(at.Add(halfCommand))
+		} else {
+			c.front.unhurried(c)
+		}
+	}
+}
+
+func (c *conn) refuse(err error) {
+	c.front.malformed.Add(1)
+	c.reserve(&slot{c: c, answer: redcon.AppendError(nil, "ERR "+clean(err.Error()))})
+}
+
+func clean(s string) string {
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r == '\ufffd' {
+			return '?'
+		}
+		return r
+	}, s)
+}
+
+// command takes one command; false means that the connection has ended.
+func (c *conn) command(words [][]byte, at time.Time) bool {
+	name := strings.ToUpper(string(words[0][:min(len(words[0]), 32)]))
+	switch name {
+	case "CACHE.GET", "CACHE.SET":
+		op, err := c.front.Names.parse(words, name == "CACHE.SET")
+		if err != nil {
+			c.refuse(err)
+			return true
+		}
+		s := &slot{c: c, op: op}
+		op.At, op.Reply = at, s
+		if !c.reserve(s) {
+			return false
+		}
+		if !c.front.Engine.Submit(op) {
+			c.front.full.Add(1)
+			c.mu.Lock()
+			s.op = nil
+			c.mu.Unlock()
+			s.Nacked(0)
+		}
+		return true
+	case "PING":
+		return c.reserve(&slot{c: c, answer: []byte("+PONG\r\n")})
+	case "CLIENT", "SELECT":
+		return c.reserve(&slot{c: c, answer: []byte("+OK\r\n")})
+	}
+	c.refuse(errors.New("unknown command '" + name + "'"))
+	return true
+}
+
+// reserve appends a slot, once there is room; false means that the connection has ended.
+func (c *conn) reserve(s *slot) bool {
+	c.mu.Lock()
+	for (len(c.slots) >= mostWaiting || c.piled >= mostPiled) && !c.ended {
+		c.room.Wait()
+	}
+	if c.ended {
+		c.mu.Unlock()
+		return false
+	}
+	c.slots = append(c.slots, s)
+	c.piled += len(s.answer)
+	c.used = time.Now()
+	first := s.answer != nil && len(c.slots) == 1
+	c.mu.Unlock()
+	if first {
+		c.signal()
+	}
+	return true
+}
+
+// write writes answers as far as the order allows.
+func (c *conn) write() {
+	var out []byte
+	for range c.wake {
+		c.mu.Lock()
+		n := 0
+		for n < len(c.slots) && c.slots[n].answer != nil {
+			out = append(out, c.slots[n].answer...)
+			n++
+		}
+		c.slots = append(c.slots[:0], c.slots[n:]...)
+		ended := c.ended
+		c.mu.Unlock()
+		if ended {
+			return
+		}
+		if len(out) > 0 {
+			c.nc.SetWriteDeadline(time.Now().Add(slowClient))
+			if _, err := c.nc.Write(out); err != nil {
+				c.drop()
+				return
+			}
+		}
+		c.mu.Lock()
+		c.piled -= len(out)
+		c.used = time.Now()
+		c.room.Signal()
+		last := c.ending && len(c.slots) == 0
+		more := len(c.slots) > 0 && c.slots[0].answer != nil
+		c.mu.Unlock()
+		if out = out[:0]; cap(out) > 16<<10 {
+			out = nil
+		}
+		if last {
+			c.bye()
+			return
+		}
+		if more {
+			c.signal()
+		}
+	}
+}
+
+// finish lets the connection end once all that was read is answered.
+func (c *conn) finish() {
+	c.mu.Lock()
+	c.ending = true
+	c.mu.Unlock()
+	c.nc.SetReadDeadline(time.Unix(1, 0)) // the reader stops between commands
+	c.signal()
+}
+
+// bye ends a connection whose answers are all written. Closing with unread input would reset it, and the reset
+// could overtake the last answer: so our side ends first, and the client's is read to its end.
+func (c *conn) bye() {
+	if half, ok := c.nc.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		c.nc.SetReadDeadline(time.Now().Add(linger))
+		scrap := make([]byte, 512)
+		for {
+			if _, err := c.nc.Read(scrap); err != nil {
+				break
+			}
+		}
+	}
+	c.drop()
+}
+
+// drop closes the connection at once. Ops that are still open have lost their client.
+func (c *conn) drop() {
+	c.mu.Lock()
+	if c.ended {
+		c.mu.Unlock()
+		return
+	}
+	c.ended = true
+	var left []*engine.Op
+	for _, s := range c.slots {
+		if s.op != nil && s.answer == nil {
+			left = append(left, s.op)
+		}
+	}
+	c.room.Broadcast()
+	c.mu.Unlock()
+	c.nc.Close()
+	c.signal()
+	c.front.remove(c)
+	for _, op := range left {
+		c.front.Engine.Leave(op)
+	}
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,162 @@
+// Package front holds the clients' side: RESP2 connections, commands in, answers out in their order. Parsing and
+// writing are redcon's; its server is not used, since it holds a connection's reading up while a command is open.
+package front
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"minttray/internal/engine"
+)
+
+// Front serves clients.
+type Front struct {
+	Engine *engine.Engine
+	Names  Names
+	Conns  int // open at once
+	Log    zerolog.Logger
+
+	listener *net.TCPListener
+	mu       sync.Mutex
+	conns    map[*conn]struct{}
+	closing  bool
+	changed  chan struct{} // a connection has ended
+
+	accepted, acked, nacked, deadLettered, full, malformed, panics atomic.Int64
+}
+
+// Listen opens the address.
+func (f *Front) Listen(addr string) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	f.listener, f.conns, f.changed = l.(*net.TCPListener), map[*conn]struct{}{}, make(chan struct{}, 1)
+	return nil
+}
+
+// Addr is where clients connect.
+func (f *Front) Addr() string { return f.listener.Addr().String() }
+
+// Serve accepts until Stop.
+func (f *Front) Serve() {
+	for {
+		f.admit()
+		nc, err := f.listener.AcceptTCP()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			var timeout net.Error
+			if errors.As(err, &timeout) && timeout.Timeout() {
+				return
+			}
+			f.Log.Warn().Err(err).Msg("accept failed")
+			time.Sleep(10 * time.Millisecond) // a full descriptor table must not be spun on
+			continue
+		}
+		f.accepted.Add(1)
+		c := newConn(f, nc)
+		f.mu.Lock()
+		f.conns[c] = struct{}{}
+		f.mu.Unlock()
+		go c.read()
+		go c.write()
+	}
+}
+
+// admit waits until there is a descriptor for one more client, and ends the connection that has been idle for
+// longest to get one: a client whose connection is not accepted might wait for an answer in vain.
+func (f *Front) admit() {
+	for {
+		f.mu.Lock()
+		n := len(f.conns)
+		var oldest *conn
+		if n >= f.Conns {
+			for c := range f.conns {
+				c.mu.Lock()
+				if len(c.slots) == 0 && !c.ending && (oldest == nil || c.used.Before(oldest.used)) {
+					oldest = c
+				}
+				c.mu.Unlock()
+			}
+		}
+		f.mu.Unlock()
+		if n < f.Conns {
+			return
+		}
+		if oldest != nil {
+			oldest.finish()
+		}
+		select {
+		case <-f.changed:
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+func (f *Front) remove(c *conn) {
+	f.mu.Lock()
+	delete(f.conns, c)
+	f.mu.Unlock()
+	select {
+	case f.changed <- struct{}{}:
+	default:
+	}
+}
+
+// unhurried lifts the deadline of a half command, unless the connection is ending.
+func (f *Front) unhurried(c *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ending {
+		c.nc.SetReadDeadline(time.Time{})
+	}
+}
+
+// Stop goes on accepting for a span, as clients still come, and then ends each connection as soon as all that
+// was read on it is answered. It returns when none is left or at the latest after longest.
+func (f *Front) Stop(span, longest time.Duration) (left int) {
+	f.listener.SetDeadline(time.Now().Add(span)) // Serve first takes all that stands in the queue
+	time.Sleep(span + 20*time.Millisecond)
+	f.listener.Close()
+	late := time.Now().Add(longest)
+	for {
+		f.mu.Lock()
+		conns := make([]*conn, 0, len(f.conns))
+		for c := range f.conns {
+			conns = append(conns, c)
+		}
+		f.mu.Unlock()
+		if len(conns) == 0 || time.Now().After(late) {
+			return len(conns)
+		}
+		for _, c := range conns {
+			c.mu.Lock()
+			ending := c.ending
+			c.mu.Unlock()
+			if !ending {
+				c.finish()
+			}
+		}
+		select {
+		case <-f.changed:
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// MarshalZerologObject writes the counters into a log line.
+func (f *Front) MarshalZerologObject(l *zerolog.Event) {
+	f.mu.Lock()
+	open := len(f.conns)
+	f.mu.Unlock()
+	l.Int("open", open).Int64("accepted", f.accepted.Load()).Int64("acked", f.acked.Load()).
+		Int64("nacked", f.nacked.Load()).Int64("dead_lettered", f.deadLettered.Load()).
+		Int64("turned_away", f.full.Load()).Int64("malformed", f.malformed.Load()).Int64("panics", f.panics.Load())
+}
--- /dev/null
+++ b/internal/origin/origin.go
@@ -0,0 +1,82 @@
+// Package origin holds the origin's wire, HTTP/1.1. Requests go out over our own connections: net/http's
+// Transport sends a GET again by itself when a reused connection breaks, and each copy counts as a push.
+package origin
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"minttray/internal/engine"
+	"minttray/internal/pool"
+	"minttray/policy"
+)
+
+const longest = 64 << 10 // a value
+
+// Protocol is HTTP/1.1 as the origin speaks it; Host is the address that stands in the list.
+type Protocol struct{ Host string }
+
+// Append writes GET /KEY, or PUT /KEY with the value. The properties go on as they came.
+func (p Protocol) Append(b []byte, r *engine.Request, _ time.Duration) []byte {
+	req := &http.Request{Method: http.MethodGet, Host: p.Host, URL: &url.URL{Path: "/" + r.Key}, Proto: "HTTP/1.1",
+		ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{"X-Trace-Id": {r.ID}, "X-Props": {r.Props}, "User-Agent": nil}}
+	if r.Write {
+		req.Method, req.ContentLength = http.MethodPut, int64(len(r.Value))
+		if req.Body = http.NoBody; len(r.Value) > 0 {
+			req.Body = io.NopCloser(bytes.NewReader(r.Value))
+		}
+	}
+	out := bytes.NewBuffer(b)
+	req.Write(out) // to memory: it can't fail but for a malformed request, which is then cut and refused
+	return out.Bytes()
+}
+
+// Answers reads one connection's answers.
+func (Protocol) Answers(r io.Reader) pool.Answers { return &answers{bufio.NewReader(r)} }
+
+type answers struct{ r *bufio.Reader }
+
+func (a *answers) Wait() error {
+	_, err := a.r.Peek(1)
+	return err
+}
+
+func (a *answers) Rest() int { return a.r.Buffered() }
+
+func (a *answers) Read(r *engine.Request) (engine.Result, bool, error) {
+	method := http.MethodGet
+	if r.Write {
+		method = http.MethodPut
+	}
+	resp, err := http.ReadResponse(a.r, &http.Request{Method: method})
+	if err != nil {
+		return engine.Result{}, false, err
+	}
+	if resp.StatusCode < 200 {
+		return engine.Result{}, false, fmt.Errorf("status %d is no answer", resp.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, longest+1))
+	if err != nil {
+		return engine.Result{}, false, err
+	}
+	if len(body) > longest {
+		return engine.Result{}, false, errors.New("body longer than a value may be")
+	}
+	resp.Body.Close()
+	keep := !resp.Close
+	switch {
+	case resp.StatusCode == http.StatusOK:
+		return engine.Result{Outcome: policy.Acked, Value: body}, keep, nil
+	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
+		resp.Header.Get("X-Never-Ran") == "1":
+		return engine.Result{Outcome: policy.Full}, keep, nil
+	default:
+		return engine.Result{Outcome: policy.Errored, Err: errors.New("origin: " + resp.Status)}, keep, nil
+	}
+}
--- a/internal/simwire/settings.go
+++ b/internal/settings/settings.go
@@ -1,8 +1,11 @@
-package simwire
+// Package settings decodes the object that tells a proxy its deployment: the simulator sends it in its first
+// message, a real proxy finds it in its configuration.
+package settings
 
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"minttray/policy"
 )
@@ -15,6 +18,7 @@
 		Window  uint64  `json:"dedup-window-us"`
 		Effect  string  `json:"effect"`
 		Group   string  `json:"group"`
+		Name    string  `json:"name"`
 		Tardy   float64 `json:"tardy-benefit"`
 		Target  uint64  `json:"target-latency-us"`
 		TTL     uint64  `json:"ttl-us"`
@@ -37,15 +41,30 @@
 	} `json:"family-info"`
 	Limits struct {
 		Cancelling    bool   `json:"cancelling"`
+		ConnIdle      uint64 `json:"conn-idle-us"`
+		Connect       uint64 `json:"connect-timeout-us"`
+		MaxOpen       int    `json:"max-open"`
 		MaxRetryAfter uint64 `json:"max-retry-after-us"`
 		MostPushes    int    `json:"most-pushes"`
 		Peers         bool   `json:"peers"`
 		RetryAfter    bool   `json:"retry-after"`
 	} `json:"limits"`
+	SKUs    []string `json:"skus"`
 	Tenants []struct {
+		Name  string  `json:"name"`
 		Quota float64 `json:"quota-rps"`
 	} `json:"tenants"`
-	Tick uint64 `json:"tick-us"`
+	Tick  uint64   `json:"tick-us"`
+	Zones []string `json:"zones"`
+}
+
+// Settings is what the module reads, and beside it what only a proxy on sockets needs.
+type Settings struct {
+	Policy                     policy.Settings
+	Categories, Tenants        []string // names, in the module's order
+	Zones, Kinds               []string
+	ConnectTimeout, IdleServer time.Duration // 0: none is set
+	MaxOpen                    int           // ops held at once; 0: none is set
 }
 
 var effects = map[string]policy.Effect{
@@ -54,16 +73,20 @@
 var groups = map[string]policy.Group{"": policy.GroupAll, "all": policy.GroupAll, "zone": policy.GroupZone,
 	"cell": policy.GroupCell}
 
-func decodeSettings(text []byte) (policy.Settings, error) {
+func down(us uint64) policy.Time { return policy.Time(us / 100) }
+
+// Decode takes the object apart; names that it doesn't know are passed over.
+func Decode(text []byte) (Settings, error) {
 	var c conf
-	var s policy.Settings
+	var all Settings
+	s := &all.Policy
 	if err := json.Unmarshal(text, &c); err != nil {
-		return s, fmt.Errorf("settings: %w", err)
+		return all, fmt.Errorf("settings: %w", err)
 	}
 	if len(c.Categories) == 0 {
-		return s, fmt.Errorf("settings: categories is empty")
+		return all, fmt.Errorf("settings: categories is empty")
 	}
-	s = policy.Settings{
+	*s = policy.Settings{
 		BeyondBenefit: c.Beyond, Proxies: max(c.Balancers, 1),
 		AskList: c.Discovery == "ask", AskEvery: down(c.Contract.AskEvery),
 		Aside: c.FamilyInfo.Mode == "aside", OriginKind: -1,
@@ -82,17 +105,22 @@
 	for i, k := range c.Categories {
 		effect, ok := effects[k.Effect]
 		if !ok {
-			return s, fmt.Errorf("settings: categories[%d].effect: unknown effect %q", i, k.Effect)
+			return all, fmt.Errorf("settings: categories[%d].effect: unknown effect %q", i, k.Effect)
 		}
 		group, ok := groups[k.Group]
 		if !ok {
-			return s, fmt.Errorf("settings: categories[%d].group: unknown group %q", i, k.Group)
+			return all, fmt.Errorf("settings: categories[%d].group: unknown group %q", i, k.Group)
 		}
 		s.Categories = append(s.Categories, policy.Category{Effect: effect, Group: group, Window: down(k.Window),
 			Target: down(k.Target), TTL: down(k.TTL), Benefit: k.Benefit, Tardy: k.Tardy})
+		all.Categories = append(all.Categories, k.Name)
 	}
 	for _, t := range c.Tenants {
 		s.Quotas = append(s.Quotas, t.Quota)
+		all.Tenants = append(all.Tenants, t.Name)
 	}
-	return s, nil
+	all.Zones, all.Kinds, all.MaxOpen = c.Zones, c.SKUs, c.Limits.MaxOpen
+	all.ConnectTimeout = time.Duration(c.Limits.Connect) * time.Microsecond
+	all.IdleServer = time.Duration(c.Limits.ConnIdle) * time.Microsecond
+	return all, nil
 }
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -9,6 +9,7 @@
 	"io"
 	"math"
 
+	"minttray/internal/settings"
 	"minttray/policy"
 )
 
@@ -173,12 +174,12 @@
 		}
 		in = &instance{w: w, id: id}
 		w.instances[id] = in
-		s, err := decodeSettings(conf)
+		s, err := settings.Decode(conf)
 		if err != nil {
 			w.out = text(append(w.out, 12), id, err.Error())
 			return nil
 		}
-		in.proxy = policy.New(s, seed, in)
+		in.proxy = policy.New(s.Policy, seed, in)
 	case 7:
 		tid, key, bits, service, left := r.u32(), r.u64(), r.u8(), r.u16(), r.u32()
 		r.take(8)
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -7,7 +7,7 @@
 	"testing"
 )
 
-const settings = `{"balancers": 2, "categories": [{"benefit": 2, "effect": "read_like", "target-latency-us": 300000,
+const example = `{"balancers": 2, "categories": [{"benefit": 2, "effect": "read_like", "target-latency-us": 300000,
 	"ttl-us": 900000}], "contract": {"warm-up-us": 5000000, "tip-after-us": 2000000, "fall-multiple": 2,
 	"cold-from": 0.5}, "family-info": {"mode": "through", "origin-kind": -1}, "limits": {"most-pushes": 3,
 	"retry-after": true, "max-retry-after-us": 1000000}, "tick-us": 5000, "unheard-of": {"x": 1}}`
@@ -57,9 +57,9 @@
 
 func TestActions(t *testing.T) {
 	out, err := serve(frame(1000000),
-		frame(1005000, start(3, settings), list(3, 50), ask(3, 9)),
+		frame(1005000, start(3, example), list(3, 50), ask(3, 9)),
 		frame(1010000, ended(3, 9, 50, 10, 1, 0), ended(3, 9, 50, 10, 1, 0)),
-		frame(1015000, list(3), ask(3, 10), record(uint8(4), uint16(3)), start(3, settings)))
+		frame(1015000, list(3), ask(3, 10), record(uint8(4), uint16(3)), start(3, example)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -82,7 +82,7 @@
 }
 
 func TestBadInput(t *testing.T) {
-	whole := frame(1000000, start(3, settings), list(3, 50), ask(3, 9))
+	whole := frame(1000000, start(3, example), list(3, 50), ask(3, 9))
 	for n := 1; n < len(whole); n++ {
 		if _, err := serve(whole[:n]); err == nil {
 			t.Errorf("input cut at %d of %d bytes was accepted", n, len(whole))
