--- a/cmd/minttray/main.go
+++ b/cmd/minttray/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"runtime"
@@ -27,16 +28,17 @@
 )
 
 func main() {
-	if err := run(); err != nil {
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	if err := run(os.Getenv, signals, os.Stderr); err != nil {
 		fmt.Fprintln(os.Stderr, "minttray:", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
-	c, err := config.Load(os.Getenv)
+// run is one proxy, from its configuration to the word to stop.
+func run(get func(string) string, signals <-chan os.Signal, out io.Writer) error {
+	c, err := config.Load(get)
 	if err != nil {
 		return err
 	}
@@ -49,7 +51,7 @@
 	} else {
 		memory = 1 << 30
 	}
-	log, sink := logs.New(os.Stderr)
+	log, sink := logs.New(out, get("MINTTRAY_LOG"))
 	defer sink.Close()
 	log = log.With().Str("proxy", c.Name).Logger()
 
@@ -62,7 +64,7 @@
 	if maxOps <= 0 {
 		maxOps = 1 << 16
 	}
-	e := engine.New(engine.Options{Settings: s.Policy, Seed: c.Seed, Logger: log, MaxOps: maxOps, MaxBytes: memory / 4,
+	e := engine.New(engine.Options{Settings: s.Policy, Seed: c.Seed, Logger: log, MaxOps: maxOps, MaxBytes: memory / 8,
 		Connect: func(m engine.Member) engine.Server {
 			if m.Kind == s.Policy.OriginKind {
 				return pool.New(shared, m.Addr, origin.Protocol{Host: m.Addr})
@@ -76,7 +78,7 @@
 	if err != nil {
 		return fmt.Errorf("known: %w", err)
 	}
-	f := &front.Front{Engine: e, Names: front.NewNames(s.Categories, s.Tenants), Conns: c.Sockets / 2, Log: log}
+	f := &front.Front{Engine: e, Names: front.NewNames(s.Categories, s.Tenants), Conns: c.Sockets / 2, Piled: memory / 8, Log: log}
 	if err := f.Listen(c.Listen); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
--- /dev/null
+++ b/cmd/minttray/main_test.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const patience = 20 * time.Second // bound of waits that end by an event; no verdict hangs on it
+
+// cache answers each command with its id, a little later; keys that begin with m are missing.
+func cache(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			for r := bufio.NewReader(c); ; {
+				var n int
+				if _, err := fmt.Fscanf(r, "*%d\r\n", &n); err != nil {
+					return
+				}
+				words := make([]string, n)
+				for i := range words {
+					r.ReadString('\n')
+					words[i], _ = r.ReadString('\n')
+					words[i] = strings.TrimSpace(words[i])
+				}
+				time.Sleep(5 * time.Millisecond)
+				if strings.HasPrefix(words[1], "m") {
+					io.WriteString(c, "*3\r\n$-1\r\n$-1\r\n$-1\r\n")
+				} else {
+					fmt.Fprintf(c, "*3\r\n$%d\r\n%s\r\n$-1\r\n$7\r\nqueue=0\r\n", len(words[2]), words[2])
+				}
+			}
+		}()
+	}
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+func get(c net.Conn, r *bufio.Reader, key, id string) (string, error) {
+	props := "c=read,t=acme,d=5000"
+	if _, err := fmt.Fprintf(c, "*4\r\n$9\r\nCACHE.GET\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n",
+		len(key), key, len(id), id, len(props), props); err != nil {
+		return "", err
+	}
+	head, err := r.ReadString('\n')
+	if err != nil || head[0] != '$' {
+		return head, err
+	}
+	body, err := r.ReadString('\n')
+	return strings.TrimSpace(body), err
+}
+
+// The whole program: hits and misses are served, the counters are printed on request, and the word to stop under
+// load loses nothing.
+func TestProxy(t *testing.T) {
+	one, two, origin, discovery, free := listen(t), listen(t), listen(t), listen(t), listen(t)
+	addr := free.Addr().String()
+	free.Close()
+	go cache(one)
+	go cache(two)
+	var fetched atomic.Int32
+	go http.Serve(origin, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fetched.Add(1)
+		io.WriteString(w, r.Header.Get("X-Trace-Id"))
+	}))
+	entry := func(id, kind string, l net.Listener) string {
+		return fmt.Sprintf(`{"instanceId":%q,"hostPort":%q,"zone":"a","machineType":%q,"lifecycle":"active","weight":1}`,
+			id, l.Addr(), kind)
+	}
+	list := `{"generation":1,"reset":true,"instances":[` + entry("one", "box", one) + "," + entry("two", "box", two) + "," +
+		entry("o", "origin", origin) + "]}"
+	go http.Serve(discovery, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery != "" {
+			<-r.Context().Done()
+			return
+		}
+		io.WriteString(w, list)
+	}))
+	path := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"name":"n","listen":%q,"discovery":%q,"seed":"7","limits":{"cores":2,"memory_mb":512,"sockets":256},
+		"known":%s,"settings":{"balancers":1,"categories":[{"name":"read","benefit":2,"effect":"read_like",
+		"target-latency-us":4000000,"ttl-us":5000000}],"contract":{"tip-after-us":3000000,"fall-multiple":3,"cold-from":0.5},
+		"family-info":{"mode":"aside","origin-kind":1},"limits":{"most-pushes":3,"cancelling":true,"retry-after":true,
+		"max-retry-after-us":1000000},"skus":["box","origin"],"tenants":[{"name":"acme","quota-rps":100000}],"tick-us":5000}}`,
+		addr, discovery.Addr(), list)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	signals, ended := make(chan os.Signal, 2), make(chan error, 1)
+	var log bytes.Buffer
+	go func() {
+		ended <- run(func(name string) string { return map[string]string{"BALANCER_CONFIG": path}[name] }, signals, &log)
+	}()
+	var c net.Conn
+	var err error
+	for late := time.Now().Add(patience); time.Now().Before(late); time.Sleep(5 * time.Millisecond) {
+		if c, err = net.Dial("tcp", addr); err == nil {
+			break
+		}
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.SetDeadline(time.Now().Add(patience))
+	r := bufio.NewReader(c)
+	for key, fetches := range map[string]int32{"hit": 0, "missing": 1} {
+		before := fetched.Load()
+		if body, err := get(c, r, key, "id-"+key); body != "id-"+key || err != nil || fetched.Load()-before != fetches {
+			t.Errorf("%s: %q, %v, %d fetches", key, body, err, fetched.Load()-before)
+		}
+	}
+	signals <- syscall.SIGUSR1
+
+	var all sync.WaitGroup
+	var served atomic.Int32
+	for n := range 8 {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(patience))
+			r := bufio.NewReader(c)
+			for i := 0; ; i++ {
+				id := fmt.Sprint(n, "-", i)
+				body, err := get(c, r, "k"+id, id)
+				if err != nil && body == "" && i > 0 {
+					return // closed between ops
+				}
+				if body != id && !strings.HasPrefix(body, "-BUSY") {
+					t.Errorf("op %s: %q, %v", id, body, err)
+					return
+				}
+				if served.Add(1); served.Load() == 100 {
+					signals <- syscall.SIGTERM
+				}
+			}
+		}()
+	}
+	all.Wait()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(patience):
+		t.Fatal("did not end")
+	}
+	if served.Load() < 100 || strings.Count(log.String(), `"message":"counters"`) != 2 ||
+		!strings.Contains(log.String(), `"message":"stopped"`) || !strings.Contains(log.String(), `"overdue":0`) {
+		t.Errorf("%d served; log:\n%s", served.Load(), log.String())
+	}
+}
--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -1,13 +1,20 @@
 // Package buffer holds the one buffer that a connection reads into.
 package buffer
 
-import "io"
+import (
+	"errors"
+	"io"
+)
 
 const (
+	Most  = 72 << 10 // a value of 64 KiB, and what stands round it
 	least = 4 << 10  // first size
 	kept  = 16 << 10 // an empty buffer over this is let go, so that a fleet of idle connections stays small
 )
 
+// ErrFull means that one message is longer than any may be.
+var ErrFull = errors.New("message too long")
+
 // Buffer grows as it needs and is compacted in place. Its zero value is ready.
 type Buffer struct {
 	b        []byte
@@ -34,8 +41,10 @@
 		if b.from > 0 {
 			b.to = copy(b.b, b.b[b.from:b.to])
 			b.from = 0
+		} else if b.to >= Most {
+			return ErrFull
 		} else {
-			grown := make([]byte, max(2*len(b.b), least))
+			grown := make([]byte, min(max(2*len(b.b), least), Most))
 			copy(grown, b.b[:b.to])
 			b.b = grown
 		}
--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -4,7 +4,6 @@
 import (
 	"bytes"
 	"errors"
-	"fmt"
 	"io"
 	"strconv"
 	"strings"
@@ -18,8 +17,6 @@
 	"minttray/policy"
 )
 
-const longest = 64<<10 + 4<<10 // an answer: the longest value, and the rest of it
-
 // Protocol is RESP2 as caches speak it.
 type Protocol struct{}
 
@@ -73,9 +70,6 @@
 			a.buf.Take(n)
 			return res, err == nil, err
 		}
-		if len(a.buf.Bytes()) > longest {
-			return engine.Result{}, false, fmt.Errorf("answer longer than %d bytes", longest)
-		}
 		if err := a.buf.Fill(a.r); err != nil {
 			return engine.Result{}, false, err
 		}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,78 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.4:6379","discovery":"127.2.0.1:8500","seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"generation":41,"reset":true,"instances":[]},
+"settings":{"balancers":3,"categories":[{"name":"read","benefit":2,"effect":"read_like","target-latency-us":300000,
+"ttl-us":900000}],"limits":{"conn-idle-us":60000000,"connect-timeout-us":100000,"max-open":20000},
+"skus":["box","origin"],"tenants":[{"name":"acme","quota-rps":9}],"zones":["a","b"]}}`
+
+func load(t *testing.T, text string, env map[string]string) (Config, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return Load(func(name string) string {
+		if name == "BALANCER_CONFIG" {
+			return path
+		}
+		return env[name]
+	})
+}
+
+func TestLoad(t *testing.T) {
+	c, err := load(t, good, map[string]string{"BALANCER_NAME": "n3"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := c.Settings
+	if c.Name != "n3" || c.Listen != "127.0.0.4:6379" || c.Discovery != "127.2.0.1:8500" || c.Seed != 0x8c1f30d27a5be964 ||
+		c.Cores != 1 || c.MemoryMB != 192 || c.Sockets != 1024 || !strings.Contains(string(c.Known), "41") {
+		t.Errorf("%+v", c)
+	}
+	if s.Policy.Proxies != 3 || s.Categories[0] != "read" || s.Tenants[0] != "acme" || s.Zones[1] != "b" || s.Kinds[1] != "origin" ||
+		s.ConnectTimeout != 100*time.Millisecond || s.IdleServer != time.Minute || s.MaxOpen != 20000 {
+		t.Errorf("%+v", s)
+	}
+	unnamed := strings.Replace(good, `"name":"n3",`, "", 1)
+	if c, err = load(t, unnamed, map[string]string{"BALANCER_NAME": "n4"}); err != nil || c.Name != "n4" {
+		t.Errorf("%+v, %v", c, err)
+	}
+}
+
+// Each fault is told by one line that names the field.
+func TestFaults(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{good, "", "BALANCER_CONFIG: "},
+		{good, "{", "BALANCER_CONFIG: "},
+		{`"n3"`, `7`, "BALANCER_CONFIG: "},
+		{`"n3"`, `"n5"`, "name: "},
+		{`"127.0.0.4:6379"`, `"127.0.0.4"`, "listen: "},
+		{`"listen":"127.0.0.4:6379",`, "", "listen: "},
+		{`"127.2.0.1:8500"`, `""`, "discovery: "},
+		{`"8c1f30d27a5be964"`, `"seed"`, "seed: "},
+		{`"cores":1.0`, `"cores":-1`, "limits.cores: "},
+		{`"memory_mb":192`, `"memory_mb":-1`, "limits.memory_mb: "},
+		{`"sockets":1024`, `"sockets":10`, "limits.sockets: "},
+		{`"settings"`, `"other"`, "settings: "},
+		{`"read_like"`, `"sometimes"`, "settings: categories[0].effect: "},
+	} {
+		_, err := load(t, strings.Replace(good, c.old, c.new, 1), map[string]string{"BALANCER_NAME": "n3"})
+		if err == nil || !strings.HasPrefix(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s for %s: want a line that begins with %q, got %v", c.new, c.old, c.want, err)
+		}
+	}
+	for _, path := range []string{"", "/nowhere/at/all.json"} {
+		if _, err := Load(func(string) string { return path }); err == nil || !strings.HasPrefix(err.Error(), "BALANCER_CONFIG: ") {
+			t.Errorf("%q: %v", path, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,225 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"minttray/internal/engine"
+	"minttray/policy"
+)
+
+const bound = 20 * time.Second // bound of waits that end by an event; no verdict hangs on it
+
+type told struct {
+	kind    policy.ListKind
+	members []engine.Member
+}
+
+// agent answers the nth call by what turn gives; "" breaks the connection.
+func agent(t *testing.T, ask bool, turn func(n int, query string) string) (*Watch, chan told) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var calls atomic.Int32
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		text := turn(int(calls.Add(1))-1, r.URL.RawQuery)
+		if text == "" {
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprint(w, text)
+	})}
+	go server.Serve(l)
+	watch := New(l.Addr().String(), NewNames([]string{"a", "b"}, []string{"box", "origin"}, zerolog.Nop()), ask, zerolog.Nop())
+	tells := make(chan told, 100)
+	watch.Tell = func(kind policy.ListKind, members []engine.Member) { tells <- told{kind, members} }
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { watch.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); server.Close(); <-done })
+	return watch, tells
+}
+
+func hear(t *testing.T, tells chan told) told {
+	t.Helper()
+	select {
+	case got := <-tells:
+		return got
+	case <-time.After(bound):
+		t.Fatal("nothing was told")
+	}
+	return told{}
+}
+
+func entry(id, lifecycle string) string {
+	return fmt.Sprintf(`{"instanceId":%q,"hostPort":"127.0.0.1:6379","zone":"b","machineType":"origin","cell":3,`+
+		`"lifecycle":%q,"weight":2.5,"startedAtMs":1700000000123}`, id, lifecycle)
+}
+
+func list(generation int, reset bool, entries ...string) string {
+	return fmt.Sprintf(`{"generation":%d,"reset":%v,"instances":[%s],"more":1}`, generation, reset, strings.Join(entries, ","))
+}
+
+func TestWholeListThenChanges(t *testing.T) {
+	queries := make(chan string, 10)
+	hold := make(chan bool)
+	defer close(hold)
+	w, tells := agent(t, false, func(n int, query string) string {
+		queries <- query
+		switch n {
+		case 0:
+			return list(41, true, entry("x", "active"), entry("y", "active"))
+		case 1:
+			return list(43, false, entry("x", "leaving"))
+		case 2:
+			return list(44, false) // nothing changed
+		case 3:
+			return list(50, true, entry("y", "active"))
+		}
+		<-hold
+		return ""
+	})
+	got := hear(t, tells)
+	if got.kind != policy.ListFull || len(got.members) != 2 {
+		t.Errorf("%+v", got)
+	}
+	x := got.members[0]
+	if x.Zone != 1 || x.Kind != 1 || x.Cell != 3 || x.Weight != 2.5 || x.Addr != "127.0.0.1:6379" || x.State != policy.Ready {
+		t.Errorf("%+v", x)
+	}
+	if x.Start < 1700000000123*10 || x.Start >= 1700000000124*10 {
+		t.Errorf("started %d: older than it is, or another millisecond", x.Start)
+	}
+	got = hear(t, tells)
+	if got.kind != policy.ListDelta || len(got.members) != 1 || got.members[0].ID != x.ID || got.members[0].State != policy.Draining {
+		t.Errorf("%+v", got)
+	}
+	if got = hear(t, tells); got.kind != policy.ListFull || len(got.members) != 1 {
+		t.Errorf("%+v", got)
+	}
+	for _, want := range []string{"", "index=41&wait=5000", "index=43&wait=5000", "index=44&wait=5000", "index=50&wait=5000"} {
+		if query := <-queries; query != want {
+			t.Errorf("asked %q, want %q", query, want)
+		}
+	}
+	if other := NewNames(nil, nil, zerolog.Nop()); other.number("y") == x.ID || other.number("x") != x.ID {
+		t.Error("another proxy gives the cache another number")
+	}
+	w.Watch(true) // means nothing where changes come by themselves
+}
+
+func TestBrokenWatchIsReopened(t *testing.T) {
+	queries := make(chan string, 10)
+	_, tells := agent(t, false, func(n int, query string) string {
+		queries <- query
+		switch n {
+		case 0:
+			return list(41, true, entry("x", "active"))
+		case 1, 2:
+			return ""
+		case 3:
+			return list(42, false, entry("y", "active"))
+		case 4:
+			return `{"generation":43,"reset":fal`
+		}
+		return list(45, true, entry("z", "active"))
+	})
+	for i, want := range []policy.ListKind{policy.ListFull, policy.ListDelta, policy.ListFull} {
+		if got := hear(t, tells); got.kind != want || len(got.members) != 1 {
+			t.Errorf("told %d: %+v", i, got)
+		}
+	}
+	// net/http may repeat a broken call by itself; here that does no harm.
+	for _, want := range []string{"", "index=41&wait=5000", "index=41&wait=5000", "index=41&wait=5000", "index=42&wait=5000", ""} {
+		if query := <-queries; query != want {
+			t.Errorf("asked %q, want %q", query, want)
+		}
+	}
+}
+
+// An agent that is silent must not hold the watch for ever, nor take the old list away.
+func TestSilentAgentIsAskedAgain(t *testing.T) {
+	hold := make(chan bool)
+	defer close(hold)
+	_, tells := agent(t, false, func(n int, query string) string {
+		if n == 0 {
+			<-hold
+			return ""
+		}
+		return list(1, true, entry("x", "active"))
+	})
+	if got := hear(t, tells); got.kind != policy.ListFull {
+		t.Errorf("%+v", got)
+	}
+}
+
+func TestModuleDecidesWhenToAskAgain(t *testing.T) {
+	w, tells := agent(t, true, func(n int, query string) string {
+		if n == 0 {
+			return `not json`
+		}
+		return list(n, true, entry("x", "active"))
+	})
+	w.Watch(true)
+	if got := hear(t, tells); got.kind != policy.ListFailed || len(tells) > 0 {
+		t.Errorf("%+v", got)
+	}
+	w.Watch(true)
+	if got := hear(t, tells); got.kind != policy.ListFull {
+		t.Errorf("%+v", got)
+	}
+}
+
+func TestBadDocuments(t *testing.T) {
+	names := NewNames(nil, []string{"box"}, zerolog.Nop())
+	for _, text := range []string{"", "[]", "null", "{}", `{"instances":[]}`, `{"generation":-1}`, `{"generation":1,"instances":{}}`,
+		`{"generation":1,"instances":[{"instanceId":5}]}`, list(1, true, entry("x", "active")) + "}"} {
+		if _, _, err := names.decode([]byte(text)); err == nil {
+			t.Errorf("%q was taken", text)
+		}
+	}
+	good := entry("x", "active")
+	for _, bad := range []string{entry("y", "resting"), entry("", "active"), `{}`,
+		strings.Replace(entry("y", "active"), "127.0.0.1:6379", "127.0.0.1", 1),
+		strings.Replace(entry("y", "active"), ":6379", ":http", 1),
+		strings.Replace(entry("y", "active"), ":6379", ":0", 1)} {
+		_, members, err := names.decode([]byte(list(1, true, bad, good)))
+		if err != nil || len(members) != 1 {
+			t.Errorf("%s: %d members, %v", bad, len(members), err)
+		}
+	}
+	_, members, err := names.decode([]byte(list(1, true, entry("x", "active"), entry("x", "leaving"))))
+	if err != nil || len(members) != 1 || members[0].State != policy.Draining {
+		t.Errorf("an entry twice: %+v, %v", members, err)
+	}
+	if members[0].Kind < 1 {
+		t.Error("a kind that the settings lack took a number of theirs")
+	}
+	odd := strings.NewReplacer(`"weight":2.5`, `"weight":-1`, "1700000000123", "-5").Replace(good)
+	if _, members, _ = names.decode([]byte(list(1, true, odd))); members[0].Weight != 1 || members[0].Start != 0 {
+		t.Errorf("%+v", members[0])
+	}
+	var many []string
+	for i := range 700 {
+		many = append(many, entry(fmt.Sprint("c", i), "active"))
+	}
+	if _, members, err = names.decode([]byte(list(1, true, many...))); err != nil || len(members) != 700 {
+		t.Errorf("%d members, %v", len(members), err)
+	}
+	seen := map[uint32]bool{}
+	for _, m := range members {
+		seen[m.ID] = true
+	}
+	if len(seen) != 700 {
+		t.Errorf("%d numbers for 700 caches", len(seen))
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -174,7 +174,12 @@
 
 func (e *Engine) arrived(o *Op, size int64) {
 	at := e.offset + policy.Time(o.At.Sub(e.origin)/unit)
-	h := &op{Op: o, ttl: at + policy.Time(o.Left/unit), size: size}
+	// No client waits longer than its category's TTL, whatever it says; else a slip there would hold memory.
+	left := policy.Time(o.Left / unit)
+	if longest := e.Settings.Categories[o.Category].TTL; longest > 0 {
+		left = min(left, longest)
+	}
+	h := &op{Op: o, ttl: at + left, size: size}
 	for {
 		e.lastID++
 		if e.held[e.lastID] == nil && e.lastID != 0 {
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,294 @@
+package engine
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"minttray/policy"
+)
+
+const patience = 10 * time.Second // bound of waits that end by an event; no verdict hangs on it
+
+// stage records what servers and clients meet, in order, and lets a test answer pushes.
+type stage struct {
+	t    *testing.T
+	mu   sync.Mutex
+	cond *sync.Cond
+	log  []string
+	done map[string]func(Result) // by push, as logged
+}
+
+func (s *stage) say(format string, args ...any) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	line := fmt.Sprintf(format, args...)
+	s.log = append(s.log, line)
+	s.cond.Broadcast()
+	return line
+}
+
+// await waits for the first line after the first from lines that begins so, and gives its place.
+func (s *stage) await(from int, start string) int {
+	s.t.Helper()
+	late := time.AfterFunc(patience, func() { s.say("late") })
+	defer late.Stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for {
+		for i, line := range s.log[min(from, len(s.log)):] {
+			if strings.HasPrefix(line, start) {
+				return from + i
+			}
+			if line == "late" {
+				s.t.Fatalf("no %q after line %d of:\n%s", start, from, strings.Join(s.log, "\n"))
+			}
+		}
+		s.cond.Wait()
+	}
+}
+
+func (s *stage) answer(at int, r Result) {
+	s.mu.Lock()
+	done := s.done[s.log[at]]
+	s.mu.Unlock()
+	done(r)
+}
+
+type fakeServer struct {
+	s    *stage
+	addr string
+	n    int
+}
+
+func (f *fakeServer) Push(r *Request, until time.Time, done func(Result)) func() {
+	f.n++
+	name := fmt.Sprintf("%s %s #%d", f.addr, r.ID, f.n)
+	f.s.mu.Lock()
+	f.s.done["push "+name] = done
+	f.s.mu.Unlock()
+	f.s.say("push %s", name)
+	return func() { f.s.say("given up %s", name) }
+}
+func (f *fakeServer) Release() { f.s.say("release %s", f.addr) }
+func (f *fakeServer) Retire()  { f.s.say("retire %s", f.addr) }
+
+type fakeReply struct {
+	s  *stage
+	id string
+}
+
+func (r fakeReply) Acked(value []byte)            { r.s.say("acked %s %s", r.id, value) }
+func (r fakeReply) Nacked(comeBack time.Duration) { r.s.say("nacked %s", r.id) }
+func (r fakeReply) DeadLettered()                 { r.s.say("dead-lettered %s", r.id) }
+
+type noCatalog struct{}
+
+func (noCatalog) Watch(bool) {}
+
+func member(id uint32, state policy.State) Member {
+	m := Member{Entry: policy.Entry{ID: id, State: state, Weight: 1}, Addr: fmt.Sprint("cache", id)}
+	if id == 9 {
+		m.Kind, m.Addr = 1, "origin"
+	}
+	return m
+}
+
+// play starts an engine with two caches and an origin; change adapts its options.
+func play(t *testing.T, change func(*Options)) (*Engine, *stage) {
+	s := &stage{t: t, done: map[string]func(Result){}}
+	s.cond = sync.NewCond(&s.mu)
+	o := Options{Seed: 7, Logger: zerolog.Nop(), MaxOps: 100, MaxBytes: 1 << 20,
+		Connect: func(m Member) Server { return &fakeServer{s: s, addr: m.Addr} },
+		Settings: policy.Settings{Proxies: 1, Aside: true, OriginKind: 1, Tick: 50, MostPushes: 3, Cancelling: true,
+			MaxRetryAfter: 10000, FallMultiple: 3, TipAfter: 30000, ColdFrom: 0.5, WarmUp: 50000,
+			Categories: []policy.Category{{Target: 300000, TTL: 600000, Benefit: 1},
+				{Target: 1000, TTL: 600000, Benefit: 1}, {Effect: policy.AtMostOnce, Target: 300000, TTL: 600000, Benefit: 1}}}}
+	if change != nil {
+		change(&o)
+	}
+	e := New(o)
+	e.Start(noCatalog{}, []Member{member(1, policy.Ready), member(2, policy.Ready), member(9, policy.Ready)})
+	stop := make(chan struct{})
+	ended := make(chan struct{})
+	go func() { e.Run(stop); close(ended) }()
+	t.Cleanup(func() { close(stop); <-ended })
+	return e, s
+}
+
+func (s *stage) op(id string, category int) *Op {
+	return &Op{At: time.Now(), Left: time.Minute, Key: 5, Category: category, Request: Request{Key: "5", ID: id},
+		Reply: fakeReply{s, id}}
+}
+
+// settled waits until all that was put into the queue so far has been handled.
+func settled(e *Engine) (c Counters) {
+	done := make(chan struct{})
+	e.Do(func(e *Engine) { c = e.Counters; close(done) })
+	<-done
+	return c
+}
+
+func TestAnswerComesOnceAndIsTheOpsOwn(t *testing.T) {
+	e, s := play(t, nil)
+	e.Submit(s.op("a", 0))
+	at := s.await(0, "push cache")
+	s.answer(at, Result{Outcome: policy.Acked, Value: []byte("v")})
+	s.await(at, "acked a v")
+	s.answer(at, Result{Outcome: policy.Acked, Value: []byte("again")})
+	if c := settled(e); c.Acked != 1 || c.Pushes[policy.Acked] != 1 || !e.Idle() {
+		t.Errorf("a second result counted: %+v", c)
+	}
+}
+
+func TestMissGoesToTheOrigin(t *testing.T) {
+	e, s := play(t, nil)
+	e.Submit(s.op("a", 0))
+	at := s.await(0, "push cache")
+	s.answer(at, Result{Outcome: policy.Miss})
+	at = s.await(at, "push origin a")
+	s.answer(at, Result{Outcome: policy.Acked, Value: []byte("v")})
+	s.await(at, "acked a v")
+}
+
+// Danger: a push that timed out, still out on an open connection when the next is written, is a second copy.
+func TestPushIsGivenUpBeforeTheOpEnds(t *testing.T) {
+	e, s := play(t, nil)
+	e.Submit(s.op("a", 1)) // its target is 100 ms, and nobody answers
+	at := s.await(0, "push cache")
+	up := s.await(at, "given up cache")
+	if end := s.await(at, "nacked a"); end < up {
+		t.Error("answered while the push was still out")
+	}
+	s.answer(at, Result{Outcome: policy.Acked, Value: []byte("late")})
+	if c := settled(e); c.Acked != 0 || c.Pushes[policy.TimedOut] != 1 || !e.Idle() {
+		t.Errorf("a late answer counted: %+v", c)
+	}
+}
+
+func TestClientThatLeaves(t *testing.T) {
+	e, s := play(t, nil)
+	o := s.op("a", 0)
+	e.Submit(o)
+	at := s.await(0, "push cache")
+	e.Leave(o)
+	s.await(at, "given up cache")
+	e.Leave(o)
+	if c := settled(e); c.Left != 1 || c.Pushes[policy.Cancelled] != 1 || c.Acked+c.Nacked+c.DeadLettered != 0 || !e.Idle() {
+		t.Errorf("%+v", c)
+	}
+}
+
+func TestAtMostOnceIsNotSentAgain(t *testing.T) {
+	e, s := play(t, nil)
+	e.Submit(s.op("never ran", 2))
+	at := s.await(0, "push cache")
+	s.answer(at, Result{Outcome: policy.Full})
+	at = s.await(at+1, "push cache") // the other one: the first proved that it never ran
+	s.answer(at, Result{Outcome: policy.Broken})
+	s.await(at, "dead-lettered never ran")
+	if c := settled(e); c.Sent != 2 || !e.Idle() {
+		t.Errorf("%+v", c)
+	}
+}
+
+func TestDrainingCacheGetsNothingNew(t *testing.T) {
+	e, s := play(t, nil)
+	e.List(policy.ListDelta, []Member{member(1, policy.Draining)})
+	e.List(policy.ListDelta, []Member{member(2, policy.Gone)})
+	for i := range 20 {
+		o := s.op(fmt.Sprint("op", i), 0)
+		o.Key = uint64(i + 1)
+		e.Submit(o)
+	}
+	settled(e)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := slices.IndexFunc(s.log, func(line string) bool { return strings.HasPrefix(line, "push cache") }); i >= 0 {
+		t.Error(s.log[i])
+	}
+}
+
+func TestCacheThatMovesKeepsItsNumber(t *testing.T) {
+	e, s := play(t, nil)
+	moved := []Member{member(1, policy.Ready), member(2, policy.Ready)}
+	moved[0].Addr, moved[1].Addr = "moved1", "moved2"
+	e.List(policy.ListDelta, moved)
+	e.Submit(s.op("a", 0))
+	s.await(0, "retire cache1")
+	s.await(0, "retire cache2")
+	s.await(0, "push moved")
+}
+
+func TestTooMuchIsNotTaken(t *testing.T) {
+	e, s := play(t, func(o *Options) { o.MaxOps, o.MaxBytes = 2, 100 })
+	big := s.op("big", 0)
+	big.Request.Value = make([]byte, 200)
+	if e.Submit(big) || !e.Submit(s.op("a", 0)) || !e.Submit(s.op("b", 0)) || e.Submit(s.op("c", 0)) {
+		t.Error("the bounds on ops and bytes held don't hold")
+	}
+	at := s.await(0, "push cache")
+	s.answer(at, Result{Outcome: policy.Acked})
+	s.await(at, "acked")
+	settled(e)
+	if !e.Submit(s.op("d", 0)) {
+		t.Error("an op that ended still counts")
+	}
+}
+
+// The module answers each op by its TTL. Should it ever not, the engine does, and says so.
+func TestOverdueOpIsEndedAtItsTTL(t *testing.T) {
+	e, s := play(t, nil)
+	e.Do(func(e *Engine) {
+		o := s.op("a", 0)
+		h := &op{Op: o, id: 1 << 30, ttl: e.now}
+		o.held, e.held[h.id] = h, h
+		e.ops.Add(1)
+		e.timers.set(h.ttl+overdue, func() { e.expire(h) })
+	})
+	s.await(0, "dead-lettered a")
+	if c := settled(e); c.Overdue != 1 || !e.Idle() {
+		t.Errorf("%+v", c)
+	}
+}
+
+func TestPushThatCannotBeSentIsMoot(t *testing.T) {
+	e, s := play(t, nil)
+	got := make(chan Counters)
+	e.Do(func(e *Engine) {
+		o := s.op("a", 0)
+		h := &op{Op: o, id: 1 << 30, ttl: e.now + 1000}
+		e.held[h.id] = h
+		e.Push(h.id, 77, 0)
+		if len(h.out) != 1 || e.Counters.Pushes[policy.Moot] != 0 {
+			t.Error("a host call told its outcome by re-entering the module")
+		}
+		e.settle()
+		got <- e.Counters
+	})
+	if c := <-got; c.Pushes[policy.Moot] != 1 || c.Sent != 0 {
+		t.Errorf("%+v", c)
+	}
+}
+
+func TestTimersFireInOrder(t *testing.T) {
+	var ts timers
+	var got []int
+	for i, at := range []policy.Time{5, 3, 5, 1, 3} {
+		ts.set(at, func() { got = append(got, i) })
+	}
+	for _, now := range []policy.Time{0, 3, 4, 5} {
+		for do := ts.due(now); do != nil; do = ts.due(now) {
+			do()
+		}
+		got = append(got, -1)
+	}
+	if want := []int{-1, 3, 1, 4, -1, -1, 0, 2, -1}; !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
--- a/internal/front/command.go
+++ b/internal/front/command.go
@@ -16,7 +16,6 @@
 
 const (
 	longestValue = 64 << 10
-	longestRest  = 4 << 10 // of a command, beside its value
 	longestName  = 1 << 10 // key or id
 	longestWait  = time.Hour
 )
@@ -37,9 +36,6 @@
 	case kind == redcon.Tile38:
 		return 0, nil, errFraming
 	case !whole:
-		if len(b) > longestValue+longestRest {
-			return 0, nil, fmt.Errorf("command longer than %d bytes", longestValue+longestRest)
-		}
 		return 0, nil, nil
 	}
 	return len(b) - len(rest), words, nil
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -4,7 +4,6 @@
 	"errors"
 	"net"
 	"os"
-	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,7 +17,7 @@
 )
 
 const (
-	mostWaiting = 1024             // commands of one connection that wait for their answers
+	mostWaiting = 256              // commands of one connection that wait for their answers
 	mostPiled   = 1 << 20          // bytes of answers that one client hasn't read
 	halfCommand = 10 * time.Second // after which a command that stays half is given up
 	slowClient  = 10 * time.Second // for one write
@@ -68,10 +67,23 @@
 	counter.Add(1)
 	c := s.c
 	c.mu.Lock()
+	if c.ended {
+		c.mu.Unlock()
+		return
+	}
 	s.answer = answer
 	c.piled += len(answer)
-	first := len(c.slots) > 0 && c.slots[0] == s
+	total := c.front.piled.Add(int64(len(answer)))
+	first := c.slots[0] == s
+	// Over the bound for all clients, those that left more than their part unread are let go: a few slow readers
+	// must not take the memory that all need.
+	slow := total > c.front.Piled && int64(c.piled) > c.front.Piled/int64(c.front.Conns)
 	c.mu.Unlock()
+	if slow {
+		c.front.slow.Add(1)
+		go c.drop() // drop tells the engine, on whose goroutine this may be
+		return
+	}
 	if first {
 		c.signal()
 	}
@@ -95,15 +107,19 @@
 func (c *conn) read() {
 	defer func() {
 		if fault := recover(); fault != nil {
-			c.front.panics.Add(1)
-			c.front.Log.Error().Interface("panic", fault).Str("client", c.nc.RemoteAddr().String()).
-				Bytes("stack", debug.Stack()).Msg("panic on a client's connection")
-			c.drop()
+			c.front.panicked(c, fault)
+			c.finish() // what was taken still gets its answer
 		}
 	}()
 	args := make([][]byte, 0, 8)
 	for {
-		if err := c.buf.Fill(c.nc); err != nil {
+		err := c.buf.Fill(c.nc)
+		if errors.Is(err, buffer.ErrFull) {
+			c.refuse(err)
+			c.finish()
+			return
+		}
+		if err != nil {
 			c.mu.Lock()
 			ending := c.ending
 			c.mu.Unlock()
@@ -196,6 +212,7 @@
 	}
 	c.slots = append(c.slots, s)
 	c.piled += len(s.answer)
+	c.front.piled.Add(int64(len(s.answer)))
 	c.used = time.Now()
 	first := s.answer != nil && len(c.slots) == 1
 	c.mu.Unlock()
@@ -207,6 +224,12 @@
 
 // write writes answers as far as the order allows.
 func (c *conn) write() {
+	defer func() {
+		if fault := recover(); fault != nil {
+			c.front.panicked(c, fault)
+			c.drop()
+		}
+	}()
 	var out []byte
 	for range c.wake {
 		c.mu.Lock()
@@ -229,7 +252,10 @@
 			}
 		}
 		c.mu.Lock()
-		c.piled -= len(out)
+		if !c.ended {
+			c.piled -= len(out)
+			c.front.piled.Add(-int64(len(out)))
+		}
 		c.used = time.Now()
 		c.room.Signal()
 		last := c.ending && len(c.slots) == 0
@@ -280,6 +306,7 @@
 		return
 	}
 	c.ended = true
+	c.front.piled.Add(-int64(c.piled))
 	var left []*engine.Op
 	for _, s := range c.slots {
 		if s.op != nil && s.answer == nil {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,11 +15,18 @@
 	"minttray/internal/engine"
 )
 
+// Engine is where ops go.
+type Engine interface {
+	Submit(*engine.Op) bool
+	Leave(*engine.Op)
+}
+
 // Front serves clients.
 type Front struct {
-	Engine *engine.Engine
+	Engine Engine
 	Names  Names
-	Conns  int // open at once
+	Conns  int   // open at once
+	Piled  int64 // bytes of answers that all clients together may leave unread
 	Log    zerolog.Logger
 
 	listener *net.TCPListener
@@ -27,7 +35,8 @@
 	closing  bool
 	changed  chan struct{} // a connection has ended
 
-	accepted, acked, nacked, deadLettered, full, malformed, panics atomic.Int64
+	piled                                                                atomic.Int64
+	slow, accepted, acked, nacked, deadLettered, full, malformed, panics atomic.Int64
 }
 
 // Listen opens the address.
@@ -46,7 +55,6 @@
 // Serve accepts until Stop.
 func (f *Front) Serve() {
 	for {
-		f.admit()
 		nc, err := f.listener.AcceptTCP()
 		if errors.Is(err, net.ErrClosed) {
 			return
@@ -67,27 +75,28 @@
 		f.mu.Unlock()
 		go c.read()
 		go c.write()
+		f.shrink(c)
 	}
 }
 
-// admit waits until there is a descriptor for one more client, and ends the connection that has been idle for
-// longest to get one: a client whose connection is not accepted might wait for an answer in vain.
-func (f *Front) admit() {
+// shrink brings the connections back within their number before the next is accepted: the one that has been idle
+// for longest ends, but for the newest, which is about to bring its first command.
+func (f *Front) shrink(newest *conn) {
 	for {
 		f.mu.Lock()
 		n := len(f.conns)
 		var oldest *conn
-		if n >= f.Conns {
+		if n > f.Conns {
 			for c := range f.conns {
 				c.mu.Lock()
-				if len(c.slots) == 0 && !c.ending && (oldest == nil || c.used.Before(oldest.used)) {
+				if c != newest && len(c.slots) == 0 && !c.ending && (oldest == nil || c.used.Before(oldest.used)) {
 					oldest = c
 				}
 				c.mu.Unlock()
 			}
 		}
 		f.mu.Unlock()
-		if n < f.Conns {
+		if n <= f.Conns {
 			return
 		}
 		if oldest != nil {
@@ -110,6 +119,13 @@
 	}
 }
 
+// panicked logs and counts a panic, which ends no more than the connection that it happened on.
+func (f *Front) panicked(c *conn, fault any) {
+	f.panics.Add(1)
+	f.Log.Error().Interface("panic", fault).Str("client", c.nc.RemoteAddr().String()).Bytes("stack", debug.Stack()).
+		Msg("panic on a client's connection")
+}
+
 // unhurried lifts the deadline of a half command, unless the connection is ending.
 func (f *Front) unhurried(c *conn) {
 	c.mu.Lock()
@@ -158,5 +174,5 @@
 	f.mu.Unlock()
 	l.Int("open", open).Int64("accepted", f.accepted.Load()).Int64("acked", f.acked.Load()).
 		Int64("nacked", f.nacked.Load()).Int64("dead_lettered", f.deadLettered.Load()).
-		Int64("turned_away", f.full.Load()).Int64("malformed", f.malformed.Load()).Int64("panics", f.panics.Load())
+		Int64("turned_away", f.full.Load()).Int64("slow", f.slow.Load()).Int64("malformed", f.malformed.Load()).Int64("panics", f.panics.Load())
 }
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,373 @@
+package front
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"minttray/internal/engine"
+)
+
+const patience = 10 * time.Second // bound of waits that end by an event; no verdict hangs on it
+
+// fakeEngine hands ops to the test.
+type fakeEngine struct {
+	taken chan *engine.Op
+	left  chan *engine.Op
+	full  bool
+}
+
+func (e *fakeEngine) Submit(o *engine.Op) bool {
+	if o.Request.ID == "panic" {
+		panic("in the front")
+	}
+	if !e.full {
+		e.taken <- o
+	}
+	return !e.full
+}
+func (e *fakeEngine) Leave(o *engine.Op) { e.left <- o }
+
+func serve(t *testing.T, change func(*Front)) (*Front, *fakeEngine) {
+	t.Helper()
+	e := &fakeEngine{make(chan *engine.Op, 1000), make(chan *engine.Op, 1000), false}
+	f := &Front{Engine: e, Names: NewNames([]string{"read", "put"}, []string{"acme"}), Conns: 100, Piled: 1 << 20,
+		Log: zerolog.Nop()}
+	if change != nil {
+		change(f)
+	}
+	if err := f.Listen("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	go f.Serve()
+	t.Cleanup(func() { f.listener.Close() })
+	return f, e
+}
+
+type client struct {
+	t *testing.T
+	net.Conn
+	r *bufio.Reader
+}
+
+func dial(t *testing.T, f *Front) *client {
+	t.Helper()
+	c, err := net.Dial("tcp", f.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return &client{t, c, bufio.NewReader(c)}
+}
+
+func words(w ...string) string {
+	s := fmt.Sprintf("*%d\r\n", len(w))
+	for _, word := range w {
+		s += fmt.Sprintf("$%d\r\n%s\r\n", len(word), word)
+	}
+	return s
+}
+
+func get(id string) string { return words("CACHE.GET", "7f3a9c21e0b4d655", id, "c=read,t=acme,d=480") }
+
+func (c *client) send(s string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c, s); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *client) line() string {
+	c.t.Helper()
+	line, err := c.r.ReadString('\n')
+	if err != nil {
+		return err.Error()
+	}
+	return strings.TrimSuffix(line, "\r\n")
+}
+
+func (c *client) want(lines ...string) {
+	c.t.Helper()
+	for _, want := range lines {
+		if got := c.line(); got != want {
+			c.t.Fatalf("got %q, want %q", got, want)
+		}
+	}
+}
+
+func wait[T any](t *testing.T, c <-chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-c:
+	case <-time.After(patience):
+		t.Fatal("nothing came")
+	}
+	return v
+}
+
+func TestPipelinedAnswersComeInOrder(t *testing.T) {
+	f, e := serve(t, nil)
+	c := dial(t, f)
+	whole := get("a") + words("PING") + get("b") + get("c") + words("SELECT", "0") + get("d")
+	c.send(whole[:50])
+	c.send(whole[50:])
+	var ops []*engine.Op
+	for range 4 { // all are taken while none is answered
+		ops = append(ops, wait(t, e.taken))
+	}
+	ops[3].Reply.DeadLettered()
+	ops[2].Reply.Nacked(1500 * time.Microsecond)
+	ops[1].Reply.Nacked(0)
+	ops[0].Reply.Acked([]byte("v"))
+	c.want("$1", "v", "+PONG", "-BUSY", "-BUSY 2", "+OK", "-ERR dead-lettered: it may have run")
+}
+
+func TestOpIsAsTheClientSentIt(t *testing.T) {
+	f, e := serve(t, nil)
+	c := dial(t, f)
+	c.send(words("cache.set", "7f3a9c21e0b4d655", "id1", "d=480,c=put,size=9,r=1,t=acme", "a value"))
+	o := wait(t, e.taken)
+	r := o.Request
+	if o.Key != 0x7f3a9c21e0b4d655 || o.Category != 1 || o.Tenant != 0 || o.Left != 480*time.Millisecond || !r.Write ||
+		r.ID != "id1" || string(r.Value) != "a value" || r.Props[r.Wait[0]:r.Wait[1]] != "480" {
+		t.Errorf("%+v", o)
+	}
+	o.Reply.Acked([]byte("ok"))
+	c.want("$2", "ok")
+	c.send(words("CACHE.GET", "no number", "id2", "c=read,d=1"))
+	c.want("-ERR key is empty, too long or not plain text")
+	c.send(words("CACHE.GET", "no-number", "id2", "c=read,d=1"))
+	if o := wait(t, e.taken); o.Key == 0 || o.Tenant != 1 {
+		t.Errorf("%+v", o)
+	}
+}
+
+func TestClientThatGoesAwayIsToldAtOnce(t *testing.T) {
+	f, e := serve(t, nil)
+	c := dial(t, f)
+	c.send(get("a") + get("b"))
+	a, b := wait(t, e.taken), wait(t, e.taken)
+	a.Reply.Acked([]byte("v"))
+	c.want("$1", "v")
+	c.Close()
+	if o := wait(t, e.left); o != b {
+		t.Error("the wrong op was given up")
+	}
+	b.Reply.Acked([]byte("nobody reads this"))
+}
+
+func TestBadCommands(t *testing.T) {
+	long := strings.Repeat("x", 64<<10+1)
+	f, e := serve(t, nil)
+	for sent, want := range map[string]string{
+		words("GET", "k"):                                         "-ERR unknown command 'GET'",
+		words("CACHE.GET", "k", "id"):                             "-ERR wrong number of arguments: 4 words wanted, 3 came",
+		words("CACHE.GET", "k", "id", "c=read,d=5", "v"):          "-ERR wrong number of arguments: 4 words wanted, 5 came",
+		words("CACHE.SET", "k", "id", "c=read,d=5"):               "-ERR wrong number of arguments: 5 words wanted, 4 came",
+		words("CACHE.SET", "k", "id", "c=read,d=5", long):         "-ERR value of 65537 bytes, at most 65536",
+		words("CACHE.GET", "", "id", "c=read,d=5"):                "-ERR key is empty, too long or not plain text",
+		words("CACHE.GET", "k", "i\nd", "c=read,d=5"):             "-ERR id is empty, too long or not plain text",
+		words("CACHE.GET", "k", "id", "c=\r\n,d=5"):               "-ERR line break in the properties",
+		words("CACHE.GET", "k", "id", "c=else,d=5"):               `-ERR unknown or repeated class "else"`,
+		words("CACHE.GET", "k", "id", "c=read,t=else,d=5"):        `-ERR unknown or repeated tenant "else"`,
+		words("CACHE.GET", "k", "id", "c=read,t=acme,t=acme,d=5"): `-ERR unknown or repeated tenant "acme"`,
+		words("CACHE.GET", "k", "id", "d=5"):                      "-ERR class (c) missing",
+		words("CACHE.GET", "k", "id", ""):                         "-ERR class (c) missing",
+		words("CACHE.GET", "k", "id", "c=read"):                   "-ERR waiting time (d) missing",
+		words("CACHE.GET", "k", "id", "c=read,d=0"):               "-ERR d=0 is no waiting time in milliseconds",
+		words("CACHE.GET", "k", "id", "c=read,d=-5"):              "-ERR d=-5 is no waiting time in milliseconds",
+		words("CACHE.GET", "k", "id", "c=read,d=soon"):            "-ERR d=soon is no waiting time in milliseconds",
+		words("CACHE.GET", "k", "id", "c=read,d=NaN"):             "-ERR d=NaN is no waiting time in milliseconds",
+		words("CACHE.GET", "k", "id", "c=read,d=1e300"):           "-ERR d=1e300 is no waiting time in milliseconds",
+		words("CACHE.GET", "k", "id", "c=read,d=5,d=5"):           "-ERR d=5 is no waiting time in milliseconds",
+		"hello there\r\n":                                         "-ERR unknown command 'HELLO'",
+		"CACHE.GET k\r\n":                                         "-ERR wrong number of arguments: 4 words wanted, 2 came",
+	} {
+		c := dial(t, f)
+		c.send(sent + words("PING"))
+		c.want(want, "+PONG") // and the connection goes on
+	}
+	for _, sent := range []string{"*x\r\n", "*1\r\nPING\r\n", "*1\r\n$-2\r\nPING\r\n", "*1\r\n$9223372036854775807\r\nPING\r\n",
+		"*1\r\n$3\r\nPING\r\n", "$4 PING\r\n", words(long, long), strings.Repeat("endless", 20000)} {
+		c := dial(t, f)
+		c.send(words("PING"))
+		c.want("+PONG")
+		io.WriteString(c, sent) // its end may find the connection closed
+		if line := c.line(); !strings.HasPrefix(line, "-ERR ") {
+			t.Errorf("%.30q: answered %q", sent, line)
+		}
+		if line := c.line(); line != "EOF" {
+			t.Errorf("%.30q: then %q, not the connection's end", sent, line)
+		}
+	}
+	if n := len(e.taken); n > 0 {
+		t.Errorf("%d ops made of bad commands", n)
+	}
+}
+
+// Danger: memory taken on the word of a length, for a command that never comes.
+func TestAnnouncedLengthTakesNoMemory(t *testing.T) {
+	f, _ := serve(t, nil)
+	c := newConn(f, nil)
+	r := strings.NewReader("*1000000000\r\n$1000000000\r\nhalf")
+	for c.buf.Fill(r) == nil {
+	}
+	if n, _, err := next(c.buf.Bytes(), nil); n != 0 || err != nil {
+		t.Errorf("half a command gave %d, %v", n, err)
+	}
+	if held := cap(c.buf.Bytes()); held > 8<<10 {
+		t.Errorf("%d bytes held for 30", held)
+	}
+}
+
+func TestOpsBeforeLostFramingAreAnswered(t *testing.T) {
+	f, e := serve(t, nil)
+	c := dial(t, f)
+	c.send(get("a") + "*garbage\r\n")
+	o := wait(t, e.taken)
+	o.Reply.Acked([]byte("v"))
+	c.want("$1", "v")
+	if line := c.line(); !strings.HasPrefix(line, "-ERR ") {
+		t.Error(line)
+	}
+	c.want("EOF")
+	if len(e.left) > 0 {
+		t.Error("an op that was answered was given up")
+	}
+}
+
+func TestPanicStopsAtTheConnection(t *testing.T) {
+	f, e := serve(t, nil)
+	other, c := dial(t, f), dial(t, f)
+	c.send(get("a"))
+	o := wait(t, e.taken)
+	c.send(get("panic"))
+	for f.panics.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	o.Reply.Acked([]byte("v"))
+	c.want("$1", "v")
+	other.send(words("PING"))
+	other.want("+PONG")
+}
+
+func TestTurnedAwayWhereTooMuchIsHeld(t *testing.T) {
+	f, e := serve(t, nil)
+	e.full = true
+	c := dial(t, f)
+	c.send(get("a"))
+	c.want("-BUSY")
+}
+
+// A slow reader's answers pile up to a bound; past it the connection ends, and nobody else waits.
+func TestSlowReaderIsLetGo(t *testing.T) {
+	f, e := serve(t, func(f *Front) { f.Piled = 256 << 10; f.Conns = 16 })
+	c := dial(t, f)
+	c.Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	value := make([]byte, 64<<10)
+	go func() {
+		for i := 0; i < 2000; i++ {
+			if _, err := io.WriteString(c, get(fmt.Sprint(i))); err != nil {
+				return
+			}
+		}
+	}()
+	for late := time.After(patience); f.slow.Load() == 0; {
+		select {
+		case o := <-e.taken:
+			o.Reply.Acked(value)
+		case <-time.After(10 * time.Millisecond):
+		case <-late:
+			t.Fatal("everything piled up")
+		}
+	}
+	for f.piled.Load() != 0 {
+		time.Sleep(time.Millisecond)
+	}
+	other := dial(t, f)
+	other.send(words("PING"))
+	other.want("+PONG")
+}
+
+func TestIdleConnectionMakesRoomForANewOne(t *testing.T) {
+	f, e := serve(t, func(f *Front) { f.Conns = 2 })
+	busy, idle := dial(t, f), dial(t, f)
+	busy.send(get("a"))
+	o := wait(t, e.taken)
+	idle.send(words("PING"))
+	idle.want("+PONG")
+	third := dial(t, f)
+	third.send(words("PING"))
+	third.want("+PONG")
+	idle.want("EOF")
+	o.Reply.Acked([]byte("v"))
+	busy.want("$1", "v")
+}
+
+// Danger: what a proxy has taken before it ends is lost if a connection closes with it.
+func TestStopLosesNothing(t *testing.T) {
+	f, e := serve(t, nil)
+	go func() { // ops are answered in their own time, and some only after the listener has gone
+		for i := 0; ; i++ {
+			o, ok := <-e.taken
+			if !ok {
+				return
+			}
+			time.AfterFunc(time.Duration(i%7)*60*time.Millisecond, func() { o.Reply.Acked([]byte(o.Request.ID)) })
+		}
+	}()
+	var all sync.WaitGroup
+	started := make(chan bool, 40)
+	for n := range 40 {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			if n >= 20 {
+				<-started // these come after the word to stop
+			}
+			c, err := net.Dial("tcp", f.Addr())
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(patience))
+			r := bufio.NewReader(c)
+			for i := range 100 {
+				id := fmt.Sprint(n, "-", i)
+				if _, err := io.WriteString(c, get(id)); err != nil {
+					return // closed between ops
+				}
+				head, err := r.ReadString('\n')
+				if err != nil && head == "" && i > 0 {
+					return // closed between ops, as this one crossed
+				}
+				body, _ := r.ReadString('\n')
+				if strings.TrimSpace(body) != id {
+					t.Errorf("op %s: %q %q %v", id, head, body, err)
+					return
+				}
+			}
+		}()
+	}
+	time.AfterFunc(50*time.Millisecond, func() { close(started) })
+	if left := f.Stop(400*time.Millisecond, patience); left != 0 {
+		t.Errorf("%d connections left", left)
+	}
+	all.Wait()
+	if len(e.left) > 0 {
+		t.Errorf("%d ops given up", len(e.left))
+	}
+	if c, err := net.Dial("tcp", f.Addr()); err == nil {
+		c.Close()
+		t.Error("still listening")
+	}
+}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -22,8 +22,8 @@
 	once    sync.Once
 }
 
-// New starts a log on out.
-func New(out io.Writer) (zerolog.Logger, *Sink) {
+// New starts a log on out; level is zerolog's word for the least that is written, info if it is empty or unknown.
+func New(out io.Writer, level string) (zerolog.Logger, *Sink) {
 	s := &Sink{lines: make(chan []byte, waiting), done: make(chan struct{})}
 	go func() {
 		defer close(s.done)
@@ -38,7 +38,11 @@
 		}
 	}()
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
-	return zerolog.New(s).With().Timestamp().Logger(), s
+	least, err := zerolog.ParseLevel(level)
+	if err != nil || level == "" {
+		least = zerolog.InfoLevel
+	}
+	return zerolog.New(s).Level(least).With().Timestamp().Logger(), s
 }
 
 func (s *Sink) Write(line []byte) (int, error) {
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -17,7 +17,10 @@
 	"minttray/policy"
 )
 
-const longest = 64 << 10 // a value
+const (
+	longest     = 64 << 10 // a value
+	longestHead = 16 << 10 // net/http sets no bound to an answer's header
+)
 
 // Protocol is HTTP/1.1 as the origin speaks it; Host is the address that stands in the list.
 type Protocol struct{ Host string }
@@ -38,11 +41,18 @@
 }
 
 // Answers reads one connection's answers.
-func (Protocol) Answers(r io.Reader) pool.Answers { return &answers{bufio.NewReader(r)} }
+func (Protocol) Answers(r io.Reader) pool.Answers {
+	limit := &io.LimitedReader{R: r}
+	return &answers{limit, bufio.NewReader(limit)}
+}
 
-type answers struct{ r *bufio.Reader }
+type answers struct {
+	limit *io.LimitedReader // what one answer may take, so that an endless one ends
+	r     *bufio.Reader
+}
 
 func (a *answers) Wait() error {
+	a.limit.N = longest + longestHead
 	_, err := a.r.Peek(1)
 	return err
 }
--- /dev/null
+++ b/internal/origin/origin_test.go
@@ -0,0 +1,176 @@
+package origin
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"minttray/internal/engine"
+	"minttray/internal/pool"
+	"minttray/policy"
+)
+
+const patience = 10 * time.Second // bound of waits that end by an event; no verdict hangs on it
+
+// listen answers each request by the reply that turn gives it, or ends the connection where that is "".
+func listen(t *testing.T, turn func(n int, r *http.Request, body string) string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for n := 0; ; {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			r := bufio.NewReader(c)
+			for {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					break
+				}
+				body, _ := io.ReadAll(req.Body)
+				reply := turn(n, req, string(body))
+				if n++; reply == "" {
+					break
+				}
+				io.WriteString(c, reply)
+			}
+			c.Close()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func ask(t *testing.T, p *pool.Pool, r *engine.Request) engine.Result {
+	t.Helper()
+	results := make(chan engine.Result, 1)
+	p.Push(r, time.Now().Add(time.Hour), func(res engine.Result) { results <- res })
+	select {
+	case res := <-results:
+		return res
+	case <-time.After(patience):
+		t.Fatal("nothing came")
+	}
+	return engine.Result{}
+}
+
+func open(addr string) (*pool.Pool, *pool.Shared) {
+	s := &pool.Shared{Dial: patience, Idle: time.Minute, Sockets: 10, Log: zerolog.Nop()}
+	return pool.New(s, addr, Protocol{Host: addr}), s
+}
+
+func request(id string) *engine.Request {
+	return &engine.Request{Key: "7f3a", ID: id, Props: "c=read,d=480", Wait: [2]int{9, 12}}
+}
+
+const ok = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv"
+
+func TestRequestsAreAsAgreed(t *testing.T) {
+	seen := make(chan string, 2)
+	addr := listen(t, func(_ int, r *http.Request, body string) string {
+		seen <- r.Method + " " + r.URL.Path + " " + r.Header.Get("X-Trace-Id") + " " + r.Header.Get("X-Props") + " " + body
+		return ok
+	})
+	p, s := open(addr)
+	write := request("b")
+	write.Write, write.Value = true, []byte("new")
+	for want, r := range map[string]*engine.Request{"GET /7f3a a c=read,d=480 ": request("a"),
+		"PUT /7f3a b c=read,d=480 new": write} {
+		if res := ask(t, p, r); res.Outcome != policy.Acked || string(res.Value) != "v" {
+			t.Errorf("%+v", res)
+		}
+		if got := <-seen; got != want {
+			t.Errorf("the origin saw %q, want %q", got, want)
+		}
+	}
+	if s.Opened.Load() != 1 {
+		t.Errorf("%d connections for two requests", s.Opened.Load())
+	}
+}
+
+// Danger: a client library that sends a GET again by itself when a reused connection breaks makes a second push.
+func TestOriginIsNotAskedTwice(t *testing.T) {
+	asked := make(chan int, 10)
+	addr := listen(t, func(n int, _ *http.Request, _ string) string {
+		asked <- n
+		if n == 0 {
+			return ok
+		}
+		return ""
+	})
+	p, s := open(addr)
+	if res := ask(t, p, request("a")); res.Outcome != policy.Acked {
+		t.Fatalf("%+v", res)
+	}
+	if res := ask(t, p, request("b")); res.Outcome != policy.Broken {
+		t.Errorf("%+v", res)
+	}
+	if len(asked) != 2 || s.Opened.Load() != 1 {
+		t.Errorf("asked %d times on %d connections", len(asked), s.Opened.Load())
+	}
+}
+
+func TestWhatTheOriginAnswers(t *testing.T) {
+	const empty = "Content-Length: 0\r\n\r\n"
+	for reply, want := range map[string]policy.Outcome{
+		ok:                            policy.Acked,
+		"HTTP/1.1 200 OK\r\n" + empty: policy.Acked,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nv\r\n0\r\n\r\n":        policy.Acked,
+		"HTTP/1.1 200 OK\r\nEndpoint-Load-Metrics: queue=2\r\nContent-Length: 1\r\n\r\nv": policy.Acked,
+		"HTTP/1.1 500 Failed\r\n" + empty:                                                 policy.Errored,
+		"HTTP/1.1 404 Not Found\r\n" + empty:                                              policy.Errored,
+		"HTTP/1.1 503 Busy\r\nX-Never-Ran: 1\r\n" + empty:                                 policy.Full,
+		"HTTP/1.1 504 Late\r\nX-Never-Ran: 1\r\n" + empty:                                 policy.Full,
+		"HTTP/1.1 503 Busy\r\n" + empty:                                                   policy.Errored,
+		"HTTP/1.1 500 Failed\r\nX-Never-Ran: 1\r\n" + empty:                               policy.Errored,
+		"HTTP/1.1 100 Continue\r\n\r\n":                                                   policy.Broken,
+		"garbage\r\n\r\n":                                                                 policy.Broken,
+		"":                                                                                policy.Broken,
+		"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n" + strings.Repeat("x", 80000): policy.Broken,
+		"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2<<20):                                 policy.Broken,
+	} {
+		p, s := open(listen(t, func(int, *http.Request, string) string { return reply }))
+		if res := ask(t, p, request("a")); res.Outcome != want {
+			t.Errorf("%.60q: outcome %d, want %d (%v)", reply, res.Outcome, want, res.Err)
+		}
+		if want == policy.Broken && s.Open() != 0 {
+			t.Errorf("%.60q: the connection was kept", reply)
+		}
+	}
+}
+
+func TestBodyShorterThanItsLength(t *testing.T) {
+	addr := listen(t, func(n int, _ *http.Request, _ string) string {
+		return "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0") // between the two, so that the connection ends after the half
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		c, _ := l.Accept()
+		to, _ := net.Dial("tcp", addr)
+		go io.Copy(to, c)
+		io.CopyN(c, to, 42)
+		c.Close()
+		to.Close()
+	}()
+	p, _ := open(l.Addr().String())
+	res := ask(t, p, request("a"))
+	var f *pool.Fault
+	if res.Outcome != policy.Broken || !errors.As(res.Err, &f) || f.Progress != pool.AnswerBegun {
+		t.Errorf("%+v", res)
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -15,6 +15,8 @@
 	"minttray/policy"
 )
 
+const moment = 20 * time.Millisecond // for a goroutine to note that its write has returned
+
 // Protocol is what requests and answers look like.
 type Protocol interface {
 	// Append adds a request as it goes out; left is how long its answer will be waited for.
@@ -250,13 +252,14 @@
 	}
 }
 
+// hasWritten tells whether the request went out whole. The writer may be a moment behind a quick answer.
 func (out *push) hasWritten() bool {
 	select {
 	case <-out.written:
-		return out.whole
-	default:
+	case <-time.After(moment):
 		return false
 	}
+	return out.whole
 }
 
 // end closes the connection and tells what became of the push that was out on it.
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,297 @@
+package pool_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"minttray/internal/caches"
+	"minttray/internal/engine"
+	"minttray/internal/pool"
+	"minttray/policy"
+)
+
+const patience = 10 * time.Second // bound of waits that end by an event; no verdict hangs on it
+
+// listen runs serve for each connection and counts them.
+func listen(t *testing.T, serve func(n int, c net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { defer c.Close(); serve(n, c) }()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// command reads one command and gives its words.
+func command(r *bufio.Reader) ([]string, error) {
+	var n int
+	if _, err := fmt.Fscanf(r, "*%d\r\n", &n); err != nil {
+		return nil, err
+	}
+	words := make([]string, n)
+	for i := range words {
+		var size int
+		if _, err := fmt.Fscanf(r, "$%d\r\n", &size); err != nil {
+			return nil, err
+		}
+		word := make([]byte, size+2)
+		if _, err := io.ReadFull(r, word); err != nil {
+			return nil, err
+		}
+		words[i] = string(word[:size])
+	}
+	return words, nil
+}
+
+func shared() *pool.Shared {
+	return &pool.Shared{Dial: patience, Idle: time.Minute, Sockets: 10, Log: zerolog.Nop()}
+}
+
+func request(id string) *engine.Request {
+	props := "c=read,d=480,size=3"
+	return &engine.Request{Key: "k", ID: id, Props: props, Wait: [2]int{9, 12}}
+}
+
+func push(p *pool.Pool, r *engine.Request) (chan engine.Result, func()) {
+	results := make(chan engine.Result, 2)
+	return results, p.Push(r, time.Now().Add(time.Hour), func(res engine.Result) { results <- res })
+}
+
+func wait[T any](t *testing.T, c <-chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-c:
+	case <-time.After(patience):
+		t.Fatal("nothing came")
+	}
+	return v
+}
+
+func TestConnectionIsUsedAgainAndTheCommandIsAsItCame(t *testing.T) {
+	seen := make(chan string, 4)
+	addr := listen(t, func(n int, c net.Conn) {
+		for r := bufio.NewReader(c); ; {
+			words, err := command(r)
+			if err != nil {
+				return
+			}
+			seen <- fmt.Sprint(n, " ", words)
+			fmt.Fprintf(c, "*3\r\n$1\r\nv\r\n$4\r\nmiss\r\n$10\r\ninflight=7\r\n")
+		}
+	})
+	s := shared()
+	p := pool.New(s, addr, caches.Protocol{})
+	for _, id := range []string{"a", "b"} {
+		results, _ := push(p, request(id))
+		if res := wait(t, results); res.Outcome != policy.Acked || string(res.Value) != "v" || !res.Missed {
+			t.Errorf("%+v", res)
+		}
+		words := wait(t, seen)
+		if !strings.HasPrefix(words, "0 [CACHE.GET k "+id+" c=read,d=3") || !strings.HasSuffix(words, ",size=3]") {
+			t.Errorf("the cache saw %s", words)
+		}
+	}
+	if s.Opened.Load() != 1 || s.Reused.Load() != 1 {
+		t.Errorf("%d connections opened, %d used again", s.Opened.Load(), s.Reused.Load())
+	}
+	p.Release()
+	if s.Open() != 0 {
+		t.Errorf("%d open after release", s.Open())
+	}
+}
+
+// Danger: a push given up but still out on an open connection counts as a second copy beside the next.
+func TestGivenUpPushIsOffItsConnectionBeforeTheNext(t *testing.T) {
+	taken, closed := make(chan int, 2), make(chan int, 2)
+	addr := listen(t, func(n int, c net.Conn) {
+		r := bufio.NewReader(c)
+		if _, err := command(r); err != nil {
+			return
+		}
+		taken <- n
+		if n == 0 {
+			io.Copy(io.Discard, r) // answers nothing
+			closed <- n
+			return
+		}
+		io.WriteString(c, "*1\r\n$1\r\nv\r\n")
+		io.Copy(io.Discard, r)
+	})
+	s := shared()
+	p := pool.New(s, addr, caches.Protocol{})
+	_, giveUp := push(p, request("a"))
+	wait(t, taken)
+	giveUp()
+	if s.Open() != 0 {
+		t.Error("the connection is still open")
+	}
+	wait(t, closed)
+	giveUp()
+	results, _ := push(p, request("a"))
+	if res := wait(t, results); res.Outcome != policy.Acked {
+		t.Errorf("%+v", res)
+	}
+}
+
+func TestOutcomeFollowsFromHowFarItCame(t *testing.T) {
+	refused, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused.Close()
+	big := request("big")
+	big.Write, big.Value = true, make([]byte, 32<<20) // more than the kernel takes unread
+	for name, c := range map[string]struct {
+		addr     string
+		request  *engine.Request
+		progress pool.Progress
+		outcome  policy.Outcome
+	}{
+		"refused": {refused.Addr().String(), request("a"), pool.NeverConnected, policy.ConnectFailed},
+		"before its last byte": {listen(t, func(_ int, c net.Conn) {
+			io.ReadFull(c, make([]byte, 1000))
+			c.(*net.TCPConn).SetLinger(0)
+		}), big, pool.PartWritten, policy.ConnectFailed},
+		"after its last byte": {listen(t, func(_ int, c net.Conn) { command(bufio.NewReader(c)) }), request("a"),
+			pool.WholeWritten, policy.Broken},
+		"in mid-answer": {listen(t, func(_ int, c net.Conn) {
+			command(bufio.NewReader(c))
+			io.WriteString(c, "*3\r\n$100\r\nhalf a val")
+		}), request("a"), pool.AnswerBegun, policy.Broken},
+	} {
+		s := shared()
+		results, _ := push(pool.New(s, c.addr, caches.Protocol{}), c.request)
+		res := wait(t, results)
+		var f *pool.Fault
+		if !errors.As(res.Err, &f) || f.Progress != c.progress || res.Outcome != c.outcome {
+			t.Errorf("%s: outcome %d, %v", name, res.Outcome, res.Err)
+		}
+		if s.Open() != 0 {
+			t.Errorf("%s: %d connections still count as open", name, s.Open())
+		}
+	}
+}
+
+func TestWhatCachesAnswer(t *testing.T) {
+	for answer, want := range map[string]policy.Outcome{
+		"*3\r\n$0\r\n\r\n$-1\r\n$-1\r\n":  policy.Acked,
+		"*3\r\n$-1\r\n$-1\r\n$-1\r\n":     policy.Miss,
+		"-BUSY\r\n":                       policy.Full,
+		"-BUSY inflight=7\r\n":            policy.Full,
+		"-ERR failed inflight=7\r\n":      policy.Errored,
+		"+OK\r\n":                         policy.Broken,
+		":1\r\n":                          policy.Broken,
+		"garbage\r\n":                     policy.Broken,
+		"*0\r\n":                          policy.Broken,
+		"*1\r\n:5\r\n":                    policy.Broken,
+		"*1\r\n$9223372036854775807\r\nv": policy.Broken,
+		"*99999999999\r\n":                policy.Broken, // and then it ends
+		"*1\r\n$80000\r\n" + strings.Repeat("x", 80000) + "\r\n": policy.Broken,
+	} {
+		addr := listen(t, func(_ int, c net.Conn) {
+			r := bufio.NewReader(c)
+			command(r)
+			io.WriteString(c, answer)
+			c.(*net.TCPConn).CloseWrite()
+			io.Copy(io.Discard, r)
+		})
+		results, _ := push(pool.New(shared(), addr, caches.Protocol{}), request("a"))
+		if res := wait(t, results); res.Outcome != want {
+			t.Errorf("%.40q: outcome %d, want %d (%v)", answer, res.Outcome, want, res.Err)
+		}
+	}
+}
+
+// An answer with something left over, or to nothing, must not become the answer of the next push.
+func TestUnaskedAnswerEndsTheConnection(t *testing.T) {
+	addr := listen(t, func(n int, c net.Conn) {
+		r := bufio.NewReader(c)
+		for {
+			words, err := command(r)
+			if err != nil {
+				return
+			}
+			fmt.Fprintf(c, "*1\r\n$1\r\n%s\r\n*1\r\n$5\r\nwrong\r\n", words[2])
+		}
+	})
+	s := shared()
+	p := pool.New(s, addr, caches.Protocol{})
+	for _, id := range []string{"a", "b", "c"} {
+		results, _ := push(p, request(id))
+		if res := wait(t, results); string(res.Value) == "wrong" {
+			t.Fatalf("push %s got another's answer", id)
+		}
+		for late := time.Now().Add(patience); s.Open() > 0 && time.Now().Before(late); {
+			time.Sleep(time.Millisecond)
+		}
+		if s.Open() != 0 {
+			t.Fatal("the connection was kept")
+		}
+	}
+}
+
+func TestDescriptorsRunOut(t *testing.T) {
+	hold := make(chan bool)
+	addr := listen(t, func(_ int, c net.Conn) { <-hold })
+	defer close(hold)
+	s := shared()
+	s.Sockets = 1
+	p := pool.New(s, addr, caches.Protocol{})
+	first, giveUp := push(p, request("a"))
+	for s.Open() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	second, _ := push(p, request("b"))
+	if res := wait(t, second); res.Outcome != policy.ConnectFailed || s.Shortages.Load() != 1 {
+		t.Errorf("%+v", res)
+	}
+	for s.Opened.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	giveUp()
+	select {
+	case res := <-first:
+		if res.Outcome == policy.Acked {
+			t.Errorf("%+v", res)
+		}
+	default:
+	}
+}
+
+type panicky struct{ caches.Protocol }
+type panicAnswers struct{ pool.Answers }
+
+func (p panicky) Answers(r io.Reader) pool.Answers { return panicAnswers{p.Protocol.Answers(r)} }
+func (panicAnswers) Read(*engine.Request) (engine.Result, bool, error) {
+	panic("in the parser")
+}
+
+func TestPanicStopsAtTheConnection(t *testing.T) {
+	addr := listen(t, func(_ int, c net.Conn) {
+		command(bufio.NewReader(c))
+		io.WriteString(c, "*1\r\n$1\r\nv\r\n")
+	})
+	s := shared()
+	results, _ := push(pool.New(s, addr, panicky{}), request("a"))
+	if res := wait(t, results); res.Outcome != policy.Broken || s.Panics.Load() != 1 || s.Open() != 0 {
+		t.Errorf("%+v, %d panics, %d open", res, s.Panics.Load(), s.Open())
+	}
+}
