--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -46,7 +46,8 @@
 
 type server struct {
 	Server
-	addr string
+	addr  string
+	start policy.Time
 }
 
 type op struct {
@@ -144,9 +145,6 @@
 // Do runs f on the engine's goroutine.
 func (e *Engine) Do(f func(*Engine)) { e.queue.put(func() { f(e) }) }
 
-// Idle tells whether nothing is held.
-func (e *Engine) Idle() bool { return e.ops.Load() == 0 }
-
 // Submit hands an op in. If it returns false, too much is held: the op was not taken, and the front turns it away.
 func (e *Engine) Submit(o *Op) bool {
 	size := int64(len(o.Request.Value) + len(o.Request.Props) + len(o.Request.Key) + len(o.Request.ID))
@@ -215,7 +213,7 @@
 func (e *Engine) forget(h *op) {
 	if h.over && len(h.out) == 0 && e.held[h.id] == h {
 		delete(e.held, h.id)
-		h.Request.Value = nil
+		h.Op = nil // timers keep h for a while, and must not keep a value; a server may still be reading the op
 		e.ops.Add(-1)
 		e.bytes.Add(-h.size)
 	}
@@ -257,13 +255,16 @@
 	for _, m := range members {
 		entries = append(entries, m.Entry)
 		s := e.servers[m.ID]
-		if m.State == policy.Gone || s != nil && s.addr == m.Addr {
-			continue
+		if s != nil && (m.State == policy.Gone || s.addr != m.Addr || s.start < m.Start) {
+			// Gone, elsewhere, or a new process: a connection to the old one may be silent for ever, and a push
+			// written to it would wait in vain. What is out there still ends by itself.
+			s.Retire()
+			delete(e.servers, m.ID)
+			s = nil
 		}
-		if s != nil {
-			s.Retire() // the same cache elsewhere: what is out ends, new pushes go to the new address
+		if s == nil && m.State != policy.Gone {
+			e.servers[m.ID] = &server{e.Connect(m), m.Addr, m.Start}
 		}
-		e.servers[m.ID] = &server{e.Connect(m), m.Addr}
 	}
 	e.module.ListArrived(kind, entries)
 }
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -141,7 +141,7 @@
 	s.answer(at, Result{Outcome: policy.Acked, Value: []byte("v")})
 	s.await(at, "acked a v")
 	s.answer(at, Result{Outcome: policy.Acked, Value: []byte("again")})
-	if c := settled(e); c.Acked != 1 || c.Pushes[policy.Acked] != 1 || !e.Idle() {
+	if c := settled(e); c.Acked != 1 || c.Pushes[policy.Acked] != 1 || e.ops.Load() != 0 {
 		t.Errorf("a second result counted: %+v", c)
 	}
 }
@@ -166,7 +166,7 @@
 		t.Error("answered while the push was still out")
 	}
 	s.answer(at, Result{Outcome: policy.Acked, Value: []byte("late")})
-	if c := settled(e); c.Acked != 0 || c.Pushes[policy.TimedOut] != 1 || !e.Idle() {
+	if c := settled(e); c.Acked != 0 || c.Pushes[policy.TimedOut] != 1 || e.ops.Load() != 0 {
 		t.Errorf("a late answer counted: %+v", c)
 	}
 }
@@ -179,7 +179,7 @@
 	e.Leave(o)
 	s.await(at, "given up cache")
 	e.Leave(o)
-	if c := settled(e); c.Left != 1 || c.Pushes[policy.Cancelled] != 1 || c.Acked+c.Nacked+c.DeadLettered != 0 || !e.Idle() {
+	if c := settled(e); c.Left != 1 || c.Pushes[policy.Cancelled] != 1 || c.Acked+c.Nacked+c.DeadLettered != 0 || e.ops.Load() != 0 {
 		t.Errorf("%+v", c)
 	}
 }
@@ -192,7 +192,7 @@
 	at = s.await(at+1, "push cache") // the other one: the first proved that it never ran
 	s.answer(at, Result{Outcome: policy.Broken})
 	s.await(at, "dead-lettered never ran")
-	if c := settled(e); c.Sent != 2 || !e.Idle() {
+	if c := settled(e); c.Sent != 2 || e.ops.Load() != 0 {
 		t.Errorf("%+v", c)
 	}
 }
@@ -214,6 +214,20 @@
 	}
 }
 
+// Danger: connections to a process that is no more may be silent for ever, and pushes on them wait in vain.
+func TestNewProcessGetsNewConnections(t *testing.T) {
+	e, s := play(t, nil)
+	again := member(1, policy.Ready)
+	again.Start = 1
+	e.List(policy.ListDelta, []Member{again, member(2, policy.Gone)})
+	s.await(s.await(0, "retire cache1"), "retire cache2")
+	e.List(policy.ListDelta, []Member{again, member(2, policy.Ready)})
+	settled(e)
+	if len(s.log) != 2 {
+		t.Errorf("%q", s.log)
+	}
+}
+
 func TestCacheThatMovesKeepsItsNumber(t *testing.T) {
 	e, s := play(t, nil)
 	moved := []Member{member(1, policy.Ready), member(2, policy.Ready)}
@@ -252,7 +266,7 @@
 		e.timers.set(h.ttl+overdue, func() { e.expire(h) })
 	})
 	s.await(0, "dead-lettered a")
-	if c := settled(e); c.Overdue != 1 || !e.Idle() {
+	if c := settled(e); c.Overdue != 1 || e.ops.Load() != 0 {
 		t.Errorf("%+v", c)
 	}
 }
