A connection ends only once its reader has stopped, and a half read command is waited for

The reader now says that it has stopped. A command half read at that moment has 0.5 s for its rest, which may already stand in the kernel's buffer. Test: TestHalfReadCommandIsTakenAtTheEnd.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -17,10 +17,11 @@
 )
 
 const (
-	mostWaiting = 256              // commands of one connection that wait for their answers
-	mostPiled   = 1 << 20          // bytes of answers that one client hasn't read
-	halfCommand = 10 * time.Second // after which a command that stays half is given up
-	slowClient  = 10 * time.Second // for one write
+	mostWaiting = 256                    // commands of one connection that wait for their answers
+	mostPiled   = 1 << 20                // bytes of answers that one client hasn't read
+	halfCommand = 10 * time.Second       // after which a command that stays half is given up
+	slowClient  = 10 * time.Second       // for one write
+	halfAtEnd   = 500 * time.Millisecond // for the rest of a command that was half read as the connection was to end
 	linger      = 300 * time.Millisecond
 )
 
@@ -36,7 +37,10 @@
 	used   time.Time
 	room   sync.Cond // the reader waits for it while too much is piled up
 	wake   chan struct{}
+	half   bool // part of a command has been read
 	ending bool // closed as soon as all that was read is answered
+	grace  bool // the reader waits, once, for the rest of a half command
+	unread bool // the reader has stopped: no further command is taken
 	ended  bool
 }
 
@@ -108,24 +112,25 @@
 	defer func() {
 		if fault := recover(); fault != nil {
 			c.front.panicked(c, fault)
-			c.finish() // what was taken still gets its answer
+			c.stop() // what was taken still gets its answer
 		}
 	}()
 	args := make([][]byte, 0, 8)
 	for {
+		if !c.goOn() {
+			return
+		}
 		err := c.buf.Fill(c.nc)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			c.finish()
+			continue
+		}
 		if errors.Is(err, buffer.ErrFull) {
 			c.refuse(err)
-			c.finish()
+			c.stop()
 			return
 		}
 		if err != nil {
-			c.mu.Lock()
-			ending := c.ending
-			c.mu.Unlock()
-			if ending && errors.Is(err, os.ErrDeadlineExceeded) {
-				return // the writer closes it, once all is answered
-			}
 			c.drop()
 			return
 		}
@@ -135,7 +140,7 @@
 			if err != nil {
 				// Nothing that follows can be told apart any more: what was taken is answered, then it ends.
 				c.refuse(err)
-				c.finish()
+				c.stop()
 				return
 			}
 			if n == 0 {
@@ -146,14 +151,39 @@
 			}
 			c.buf.Take(n)
 		}
-		if len(c.buf.Bytes()) > 0 {
-			c.nc.SetReadDeadline(at.Add(halfCommand))
-		} else {
-			c.front.unhurried(c)
-		}
 	}
 }
 
+// goOn tells the reader whether to read on, and sets how long.
+func (c *conn) goOn() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.half = len(c.buf.Bytes()) > 0
+	var until time.Time
+	switch {
+	case c.ending && (!c.half || c.grace):
+		c.unread = true
+		c.signal()
+		return false
+	case c.ending:
+		// The rest may already stand in the kernel's buffer, and the op is then taken.
+		c.grace = true
+		until = time.Now().Add(halfAtEnd)
+	case c.half:
+		until = time.Now().Add(halfCommand)
+	}
+	c.nc.SetReadDeadline(until)
+	return true
+}
+
+// stop ends reading for good; the reader calls it.
+func (c *conn) stop() {
+	c.mu.Lock()
+	c.ending, c.unread = true, true
+	c.mu.Unlock()
+	c.signal()
+}
+
 func (c *conn) refuse(err error) {
 	c.front.malformed.Add(1)
 	c.reserve(&slot{c: c, answer: redcon.AppendError(nil, "ERR "+clean(err.Error()))})
@@ -258,7 +288,8 @@
 		}
 		c.used = time.Now()
 		c.room.Signal()
-		last := c.ending && len(c.slots) == 0
+		// Not before the reader has stopped: a command that it has read but not yet put in its place would be lost.
+		last := c.unread && len(c.slots) == 0
 		more := len(c.slots) > 0 && c.slots[0].answer != nil
 		c.mu.Unlock()
 		if out = out[:0]; cap(out) > 16<<10 {
@@ -274,13 +305,14 @@
 	}
 }
 
-// finish lets the connection end once all that was read is answered.
+// finish lets the connection end once all that was read is answered. The reader stops between commands.
 func (c *conn) finish() {
 	c.mu.Lock()
-	c.ending = true
-	c.mu.Unlock()
-	c.nc.SetReadDeadline(time.Unix(1, 0)) // the reader stops between commands
-	c.signal()
+	defer c.mu.Unlock()
+	if !c.ending {
+		c.ending = true
+		c.nc.SetReadDeadline(time.Unix(1, 0))
+	}
 }
 
 // bye ends a connection whose answers are all written. Closing with unread input would reset it, and the reset
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -89,7 +89,7 @@
 		if n > f.Conns {
 			for c := range f.conns {
 				c.mu.Lock()
-				if c != newest && len(c.slots) == 0 && !c.ending && (oldest == nil || c.used.Before(oldest.used)) {
+				if c != newest && len(c.slots) == 0 && !c.half && !c.ending && (oldest == nil || c.used.Before(oldest.used)) {
 					oldest = c
 				}
 				c.mu.Unlock()
@@ -126,15 +126,6 @@
 		Msg("panic on a client's connection")
 }
 
-// unhurried lifts the deadline of a half command, unless the connection is ending.
-func (f *Front) unhurried(c *conn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.ending {
-		c.nc.SetReadDeadline(time.Time{})
-	}
-}
-
 // Stop goes on accepting for a span, as clients still come, and then ends each connection as soon as all that
 // was read on it is answered. It returns when none is left or at the latest after longest.
 func (f *Front) Stop(span, longest time.Duration) (left int) {
@@ -153,12 +144,7 @@
 			return len(conns)
 		}
 		for _, c := range conns {
-			c.mu.Lock()
-			ending := c.ending
-			c.mu.Unlock()
-			if !ending {
-				c.finish()
-			}
+			c.finish()
 		}
 		select {
 		case <-f.changed:
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -259,6 +259,40 @@
 	other.want("+PONG")
 }
 
+// halfRead waits for a connection on which part of a command has been read.
+func halfRead(f *Front) *conn {
+	for {
+		f.mu.Lock()
+		for c := range f.conns {
+			c.mu.Lock()
+			half := c.half
+			c.mu.Unlock()
+			if half {
+				f.mu.Unlock()
+				return c
+			}
+		}
+		f.mu.Unlock()
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Danger: a command whose last byte is written is taken, though its connection was about to end when half of it
+// had been read.
+func TestHalfReadCommandIsTakenAtTheEnd(t *testing.T) {
+	f, e := serve(t, nil)
+	c, whole := dial(t, f), get("a")
+	c.send(whole[:30])
+	halfRead(f).finish()
+	c.send(whole[30:])
+	wait(t, e.taken).Reply.Acked([]byte("v"))
+	c.want("$1", "v", "EOF")
+	silent := dial(t, f)
+	silent.send(whole[:30])
+	halfRead(f).finish()
+	silent.want("EOF")
+}
+
 func TestTurnedAwayWhereTooMuchIsHeld(t *testing.T) {
 	f, e := serve(t, nil)
 	e.full = true
