An idle connection is reclaimed for another server before a push fails for want of one

Seen in review: at the servers' limit a push failed as not connected while connections idled at other servers (budget.go, take). The one idle for longest is closed first now. Test: TestIdleConnectionIsReclaimedForAnotherServer. An address still in use at the start is waited for, and tenants are passed over where the deployment has none.

--- a/internal/front/command.go
+++ b/internal/front/command.go
@@ -103,6 +103,9 @@
 			}
 			category = true
 		case "t":
+			if len(n.tenants) == 0 {
+				break // the deployment knows none
+			}
 			if o.Tenant, ok = n.tenants[value]; !ok || tenant {
 				return fmt.Errorf("unknown or repeated tenant %q", value)
 			}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -8,6 +8,7 @@
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -15,6 +16,8 @@
 	"minttray/internal/engine"
 )
 
+const inUse = 5 * time.Second // for an address to become free
+
 // Engine is where ops go.
 type Engine interface {
 	Submit(*engine.Op) bool
@@ -39,9 +42,13 @@
 	slow, accepted, acked, nacked, deadLettered, full, malformed, panics atomic.Int64
 }
 
-// Listen opens the address.
+// Listen opens the address. If the proxy that was here before is still ending, it waits for a while.
 func (f *Front) Listen(addr string) error {
 	l, err := net.Listen("tcp", addr)
+	for late := time.Now().Add(inUse); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(late); {
+		time.Sleep(20 * time.Millisecond)
+		l, err = net.Listen("tcp", addr)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/pool/budget.go
+++ b/internal/pool/budget.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,8 @@
 	Idle      time.Duration // the servers close idle connections after this
 	Sockets   int64         // open connections of all pools together
 	Log       zerolog.Logger
+	mu        sync.Mutex
+	pools     map[*Pool]struct{}
 	open      atomic.Int64
 	Opened    atomic.Int64
 	Reused    atomic.Int64
@@ -26,14 +29,53 @@
 
 // take reserves a descriptor.
 func (s *Shared) take() bool {
-	if s.open.Add(1) > s.Sockets {
+	for s.open.Add(1) > s.Sockets {
 		s.open.Add(-1)
-		s.Shortages.Add(1)
+		if !s.reclaim() {
+			s.Shortages.Add(1)
+			return false
+		}
+	}
+	return true
+}
+
+// reclaim closes the connection that has been idle for longest, at whichever server: else the idle connections
+// to some would keep pushes from others. It returns false if there is none.
+func (s *Shared) reclaim() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var oldest *Pool
+	var since time.Time
+	for p := range s.pools {
+		p.mu.Lock()
+		if len(p.idle) > 0 && (oldest == nil || p.idle[0].since.Before(since)) {
+			oldest, since = p, p.idle[0].since
+		}
+		p.mu.Unlock()
+	}
+	if oldest == nil {
 		return false
 	}
+	oldest.mu.Lock()
+	defer oldest.mu.Unlock()
+	if len(oldest.idle) > 0 { // if it has just been taken, the caller looks again
+		oldest.idle[0].close()
+	}
 	return true
 }
 
+// list adds a pool to those that connections may be reclaimed from, or takes it off.
+func (s *Shared) list(p *Pool, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pools == nil {
+		s.pools = map[*Pool]struct{}{}
+	}
+	if delete(s.pools, p); on {
+		s.pools[p] = struct{}{}
+	}
+}
+
 // MarshalZerologObject writes the counters into a log line.
 func (s *Shared) MarshalZerologObject(l *zerolog.Event) {
 	l.Int64("open", s.open.Load()).Int64("opened", s.Opened.Load()).Int64("reused", s.Reused.Load()).
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -52,8 +52,9 @@
 	work    chan *push
 
 	// Under the pool's mutex.
-	push *push // nil: idle, or closed
-	gone bool
+	push  *push     // nil: idle, or closed
+	since time.Time // idle
+	gone  bool
 }
 
 type push struct {
@@ -71,7 +72,9 @@
 
 // New makes a pool; nothing is opened before the first push.
 func New(shared *Shared, addr string, protocol Protocol) *Pool {
-	return &Pool{shared: shared, addr: addr, protocol: protocol}
+	p := &Pool{shared: shared, addr: addr, protocol: protocol}
+	shared.list(p, true)
+	return p
 }
 
 // Push sends a request on the most recently used idle connection, or on a new one.
@@ -168,9 +171,10 @@
 		c.close()
 		return
 	}
+	c.since = time.Now()
 	if idle := c.pool.shared.Idle; idle > 0 {
 		// Closed by us well before the server does: a push written as it closes counts as one that may have run.
-		c.nc.SetReadDeadline(time.Now().Add(idle * 9 / 10))
+		c.nc.SetReadDeadline(c.since.Add(idle * 9 / 10))
 	}
 	c.pool.idle = append(c.pool.idle, c)
 }
@@ -297,4 +301,5 @@
 	p.retired = true
 	p.mu.Unlock()
 	p.Release()
+	p.shared.list(p, false)
 }
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -276,6 +276,29 @@
 	}
 }
 
+// Danger: connections that idle at some servers keep pushes from others.
+func TestIdleConnectionIsReclaimedForAnotherServer(t *testing.T) {
+	serve := func(_ int, c net.Conn) {
+		for r := bufio.NewReader(c); ; {
+			if _, err := command(r); err != nil {
+				return
+			}
+			io.WriteString(c, "*1\r\n$1\r\nv\r\n")
+		}
+	}
+	s := shared()
+	s.Sockets = 2
+	for i := range 3 {
+		results, _ := push(pool.New(s, listen(t, serve), caches.Protocol{}), request("a"))
+		if res := wait(t, results); res.Outcome != policy.Acked {
+			t.Errorf("server %d: %+v", i, res)
+		}
+	}
+	if s.Open() != 2 || s.Shortages.Load() != 0 {
+		t.Errorf("%d open, %d shortages", s.Open(), s.Shortages.Load())
+	}
+}
+
 type panicky struct{ caches.Protocol }
 type panicAnswers struct{ pool.Answers }
 
