--- a/cmd/minttray/main.go
+++ b/cmd/minttray/main.go
@@ -94,7 +94,8 @@
 	counters := func() {
 		done := make(chan struct{})
 		e.Do(func(e *engine.Engine) {
-			log.Info().Object("engine", &e.Counters).Object("clients", f).Object("servers", shared).Msg("counters")
+			log.Info().Object("engine", &e.Counters).Object("clients", f).Object("servers", shared).
+				Object("discovery", watch).Msg("counters")
 			close(done)
 		})
 		<-done
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -34,7 +35,8 @@
 	Tell  func(policy.ListKind, []engine.Member)
 	Log   zerolog.Logger
 
-	on chan bool
+	on                     chan bool
+	version, calls, faults atomic.Uint64
 }
 
 // New makes a watch; Run starts it.
@@ -75,9 +77,10 @@
 				return
 			}
 		}
-		from := version
-		next, err := w.ask(ctx, client, from)
+		w.calls.Add(1)
+		next, err := w.ask(ctx, client, version)
 		if err == nil {
+			w.version.Store(*next)
 			if version, back = next, backOff; faults > 0 {
 				w.Log.Info().Int("faults", faults).Msg("discovery answers again")
 				faults = 0
@@ -87,6 +90,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		w.faults.Add(1)
 		if faults++; faults == 1 {
 			w.Log.Warn().Err(err).Msg("discovery does not answer; the old list stands")
 		}
@@ -107,6 +111,11 @@
 	}
 }
 
+// MarshalZerologObject writes the counters into a log line.
+func (w *Watch) MarshalZerologObject(l *zerolog.Event) {
+	l.Uint64("version", w.version.Load()).Uint64("calls", w.calls.Load()).Uint64("faults", w.faults.Load())
+}
+
 type badDocument struct{ error }
 
 func (w *Watch) ask(ctx context.Context, client *http.Client, version *uint64) (*uint64, error) {
