Panics in a push's writer and on a list stop where they happen

Seen in review: the writer's goroutine and the watch had no recover, so a fault there would have ended the proxy. Tests: TestPanicStopsAtTheConnection (writing), TestPanicStopsAtTheCall.

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -146,6 +146,22 @@
 	}
 }
 
+func TestPanicStopsAtTheCall(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprint(w, list(1, true, entry("x", "active")))
+	}))
+	defer l.Close()
+	w := New(l.Addr().String(), NewNames(nil, nil, zerolog.Nop()), false, zerolog.Nop())
+	w.Tell = func(policy.ListKind, []engine.Member) { panic("in the listener") }
+	if _, err := w.ask(context.Background(), http.DefaultClient, nil); err == nil {
+		t.Error("no word of it")
+	}
+}
+
 // An agent that is silent must not hold the watch for ever, nor take the old list away.
 func TestSilentAgentIsAskedAgain(t *testing.T) {
 	hold := make(chan bool)
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -118,7 +119,13 @@
 
 type badDocument struct{ error }
 
-func (w *Watch) ask(ctx context.Context, client *http.Client, version *uint64) (*uint64, error) {
+func (w *Watch) ask(ctx context.Context, client *http.Client, version *uint64) (next *uint64, err error) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			w.Log.Error().Interface("panic", fault).Bytes("stack", debug.Stack()).Msg("panic on a list")
+			err = &badDocument{errors.New("panic")}
+		}
+	}()
 	u := url.URL{Scheme: "http", Host: w.Addr, Path: "/catalog/members"}
 	limit := patience
 	if version != nil {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -184,20 +184,40 @@
 func (c *conn) write() {
 	var b []byte
 	for out := range c.work {
-		b = c.pool.protocol.Append(b[:0], out.request, time.Until(out.until))
-		n, err := c.nc.Write(b)
-		out.whole, out.err = n == len(b), err
-		close(out.written)
-		if err != nil {
-			c.nc.Close()
-		}
-		if cap(b) > 16<<10 {
+		if b = c.send(out, b[:0]); cap(b) > 16<<10 {
 			b = nil
 		}
 	}
 }
 
-var errUnasked = errors.New("an answer to nothing")
+func (c *conn) send(out *push, b []byte) []byte {
+	defer close(out.written) // in any case: the reader waits for it
+	defer func() {
+		if fault := recover(); fault != nil {
+			c.pool.panicked(fault)
+			out.err = errPanic
+		}
+		if out.err != nil {
+			c.nc.Close()
+		}
+	}()
+	b = c.pool.protocol.Append(b, out.request, time.Until(out.until))
+	n, err := c.nc.Write(b)
+	out.whole, out.err = n == len(b), err
+	return b
+}
+
+// panicked logs and counts a panic, which ends no more than the connection that it happened on.
+func (p *Pool) panicked(fault any) {
+	p.shared.Panics.Add(1)
+	p.shared.Log.Error().Interface("panic", fault).Str("server", p.addr).Bytes("stack", debug.Stack()).
+		Msg("panic on a connection to a server")
+}
+
+var (
+	errUnasked = errors.New("an answer to nothing")
+	errPanic   = errors.New("panic")
+)
 
 // read takes what comes, until the connection ends.
 func (c *conn) read() {
@@ -205,10 +225,8 @@
 	var out *push
 	defer func() {
 		if fault := recover(); fault != nil {
-			p.shared.Panics.Add(1)
-			p.shared.Log.Error().Interface("panic", fault).Str("server", p.addr).Bytes("stack", debug.Stack()).
-				Msg("panic on a connection to a server")
-			c.end(AnswerBegun, errors.New("panic"))
+			p.panicked(fault)
+			c.end(AnswerBegun, errPanic)
 		}
 	}()
 	for {
@@ -260,10 +278,15 @@
 func (out *push) hasWritten() bool {
 	select {
 	case <-out.written:
+		return out.whole
+	default:
+	}
+	select {
+	case <-out.written:
+		return out.whole
 	case <-time.After(moment):
 		return false
 	}
-	return out.whole
 }
 
 // end closes the connection and tells what became of the push that was out on it.
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -299,7 +299,10 @@
 	}
 }
 
-type panicky struct{ caches.Protocol }
+type panicky struct {
+	caches.Protocol
+	writing bool
+}
 type panicAnswers struct{ pool.Answers }
 
 func (p panicky) Answers(r io.Reader) pool.Answers { return panicAnswers{p.Protocol.Answers(r)} }
@@ -307,14 +310,23 @@
 	panic("in the parser")
 }
 
+func (p panicky) Append(b []byte, r *engine.Request, left time.Duration) []byte {
+	if p.writing {
+		panic("in the writer")
+	}
+	return p.Protocol.Append(b, r, left)
+}
+
 func TestPanicStopsAtTheConnection(t *testing.T) {
 	addr := listen(t, func(_ int, c net.Conn) {
 		command(bufio.NewReader(c))
 		io.WriteString(c, "*1\r\n$1\r\nv\r\n")
 	})
-	s := shared()
-	results, _ := push(pool.New(s, addr, panicky{}), request("a"))
-	if res := wait(t, results); res.Outcome != policy.Broken || s.Panics.Load() != 1 || s.Open() != 0 {
-		t.Errorf("%+v, %d panics, %d open", res, s.Panics.Load(), s.Open())
+	for writing, outcome := range map[bool]policy.Outcome{false: policy.Broken, true: policy.ConnectFailed} {
+		s := shared()
+		results, _ := push(pool.New(s, addr, panicky{writing: writing}), request("a"))
+		if res := wait(t, results); res.Outcome != outcome || s.Panics.Load() != 1 || s.Open() != 0 {
+			t.Errorf("%+v, %d panics, %d open", res, s.Panics.Load(), s.Open())
+		}
 	}
 }
