--- a/cmd/minttray/main_test.go
+++ b/cmd/minttray/main_test.go
@@ -19,7 +19,10 @@
 
 const patience = 20 * time.Second // bound of waits that end by an event; no verdict hangs on it
 
-// cache answers each command with its id, a little later; keys that begin with m are missing.
+var longest = strings.Repeat("x", 64<<10) // a value
+
+// cache answers each command with its id, a little later; keys that begin with m are missing, and
+// those with b have the longest value.
 func cache(l net.Listener) {
 	for {
 		c, err := l.Accept()
@@ -42,6 +45,8 @@
 				time.Sleep(5 * time.Millisecond)
 				if strings.HasPrefix(words[1], "m") {
 					io.WriteString(c, "*3\r\n$-1\r\n$-1\r\n$-1\r\n")
+				} else if strings.HasPrefix(words[1], "b") {
+					fmt.Fprintf(c, "*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(longest), longest)
 				} else {
 					fmt.Fprintf(c, "*3\r\n$%d\r\n%s\r\n$-1\r\n$7\r\nqueue=0\r\n", len(words[2]), words[2])
 				}
@@ -85,6 +90,10 @@
 	var fetched atomic.Int32
 	go http.Serve(origin, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		fetched.Add(1)
+		if body, _ := io.ReadAll(r.Body); r.Method == http.MethodPut {
+			fmt.Fprint(w, len(body))
+			return
+		}
 		io.WriteString(w, r.Header.Get("X-Trace-Id"))
 	}))
 	entry := func(id, kind string, l net.Listener) string {
@@ -133,6 +142,16 @@
 			t.Errorf("%s: %q, %v, %d fetches", key, body, err, fetched.Load()-before)
 		}
 	}
+	if body, err := get(c, r, "big", "id-big"); body != longest || err != nil {
+		t.Errorf("the longest value came back as %d bytes, %v", len(body), err)
+	}
+	fmt.Fprintf(c, "*5\r\n$9\r\nCACHE.SET\r\n$3\r\nbig\r\n$2\r\nid\r\n$16\r\nc=read,d=5000,x=\r\n$%d\r\n%s\r\n", len(longest), longest)
+	if head, err := r.ReadString('\n'); head != "$5\r\n" || err != nil {
+		t.Errorf("the longest value was answered %q, %v", head, err)
+	}
+	if body, _ := r.ReadString('\n'); body != "65536\r\n" {
+		t.Errorf("the origin had %q bytes", body)
+	}
 	signals <- syscall.SIGUSR1
 
 	var all sync.WaitGroup
