--- a/cmd/minttray/main.go
+++ b/cmd/minttray/main.go
@@ -29,7 +29,7 @@
 
 func main() {
 	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	if err := run(os.Getenv, signals, os.Stderr); err != nil {
 		fmt.Fprintln(os.Stderr, "minttray:", err)
 		os.Exit(1)
@@ -100,10 +100,26 @@
 		})
 		<-done
 	}
+	reload := func() {
+		addr, waiting, err := c.Reload(get)
+		if err != nil {
+			log.Error().Err(err).Msg("configuration not taken; the old one stands")
+			return
+		}
+		watch.Move(addr)
+		if c.Discovery = addr; len(waiting) > 0 {
+			log.Warn().Strs("fields", waiting).Msg("changed fields that wait for a restart")
+		}
+		log.Info().Str("discovery", addr).Msg("configuration read anew")
+	}
 	for sig := range signals {
-		if sig == syscall.SIGUSR1 {
+		switch sig {
+		case syscall.SIGUSR1:
 			counters()
 			continue
+		case syscall.SIGHUP:
+			reload()
+			continue
 		}
 		break
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 
 	"minttray/internal/settings"
@@ -62,7 +63,9 @@
 		{"discovery", "BALANCER_DISCOVERY", f.Discovery, &c.Discovery},
 	} {
 		told := get(field.variable)
-		if told != "" && field.in != "" && told != field.in {
+		// Only the file can be replaced while the proxy runs, and after a reload and a restart the variable may
+		// still hold where discovery was: there the file counts.
+		if told != "" && field.in != "" && told != field.in && field.name != "discovery" {
 			return c, fmt.Errorf("%s: the file says %q, %s says %q", field.name, field.in, field.variable, told)
 		}
 		if *field.out = field.in; field.in == "" {
@@ -97,3 +100,26 @@
 	}
 	return c, nil
 }
+
+// Reload reads the file anew, as whole as at the start. Only discovery can change while a proxy runs; which other
+// fields differ, and so wait for a restart, is told by name. With an error, what is in force stands.
+func (c Config) Reload(get func(string) string) (discovery string, waiting []string, err error) {
+	n, err := Load(get)
+	if err != nil {
+		return c.Discovery, nil, err
+	}
+	for _, field := range []struct {
+		name string
+		same bool
+	}{
+		{"name", n.Name == c.Name},
+		{"listen", n.Listen == c.Listen},
+		{"limits", n.Cores == c.Cores && n.MemoryMB == c.MemoryMB && n.Sockets == c.Sockets},
+		{"settings", reflect.DeepEqual(n.Settings, c.Settings)},
+	} {
+		if !field.same {
+			waiting = append(waiting, field.name)
+		}
+	}
+	return n.Discovery, waiting, nil // seed and known are for the start alone
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -76,3 +77,36 @@
 		}
 	}
 }
+
+// Danger: a reload half applied, or one that a value of the start's environment refuses.
+func TestReload(t *testing.T) {
+	env := map[string]string{"BALANCER_DISCOVERY": "127.2.0.1:8500"}
+	c, err := load(t, good, env)
+	if err != nil {
+		t.Fatal(err)
+	}
+	moved := strings.Replace(good, "127.2.0.1:8500", "127.2.0.2:8500", 1)
+	for text, want := range map[string]string{
+		good:  "127.2.0.1:8500 []",
+		moved: "127.2.0.2:8500 []",
+		strings.NewReplacer("41", "99", "8c1f", "0000").Replace(moved):                            "127.2.0.2:8500 []",
+		strings.NewReplacer(`"n3"`, `"n4"`, ":192", ":96", `"benefit":2`, `"b":2`).Replace(moved): "127.2.0.2:8500 [name limits settings]",
+		strings.Replace(moved, "read_like", "", 1):                                                "127.2.0.1:8500 [] settings: ",
+		moved[:len(moved)/2]: "127.2.0.1:8500 [] BALANCER_CONFIG: ",
+	} {
+		path := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		discovery, waiting, err := c.Reload(func(name string) string {
+			return map[string]string{"BALANCER_CONFIG": path, "BALANCER_DISCOVERY": env["BALANCER_DISCOVERY"]}[name]
+		})
+		got := fmt.Sprint(discovery, " ", waiting)
+		if err != nil {
+			got += " " + err.Error()
+		}
+		if got != want && (err == nil || !strings.HasPrefix(got, want)) {
+			t.Errorf("%.60q: %s, want %s", text, got, want)
+		}
+	}
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"runtime/debug"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,24 +26,50 @@
 	patience  = time.Second     // past the wait
 	backOff   = 50 * time.Millisecond
 	backOffTo = time.Second
-	longest   = 4 << 20 // a list
+	longest   = 1 << 20 // a list
+
+	longestHead = 16 << 10
 )
 
 // Watch keeps a proxy's list up to date.
 type Watch struct {
-	Addr  string
 	Names *Names
 	Ask   bool // only while the module asks for it, which then also decides when to ask again
 	Tell  func(policy.ListKind, []engine.Member)
 	Log   zerolog.Logger
 
-	on                     chan bool
-	version, calls, faults atomic.Uint64
+	on                            chan bool
+	version, calls, faults, moves atomic.Uint64
+
+	mu   sync.Mutex
+	addr string
+	call context.CancelFunc // ends the call in hand
 }
 
 // New makes a watch; Run starts it.
 func New(addr string, names *Names, ask bool, log zerolog.Logger) *Watch {
-	return &Watch{Addr: addr, Names: names, Ask: ask, Log: log, on: make(chan bool, 64)}
+	return &Watch{addr: addr, Names: names, Ask: ask, Log: log, on: make(chan bool, 64), call: func() {}}
+}
+
+// Move goes on at another address. The call in hand ends at once: the old agent may be silent by now, and what it
+// still says counts no more. The list stands until the new one has told its own.
+func (w *Watch) Move(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if addr == w.addr {
+		return
+	}
+	w.addr = addr
+	w.moves.Add(1)
+	w.call()
+}
+
+// begin gives the address to ask next, and a context that ends when that is no longer the address.
+func (w *Watch) begin(ctx context.Context) (string, context.Context, context.CancelFunc) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ctx, w.call = context.WithCancel(ctx)
+	return w.addr, ctx, w.call
 }
 
 // Watch switches the watch, where it goes by the module's word.
@@ -64,10 +91,12 @@
 
 // Run asks until ctx ends. A fault leaves the old list standing.
 func (w *Watch) Run(ctx context.Context) {
-	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: patience}).DialContext, MaxConnsPerHost: 2}
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: patience}).DialContext, MaxConnsPerHost: 2,
+		MaxResponseHeaderBytes: longestHead, DisableCompression: true}
 	client := &http.Client{Transport: transport}
 	defer transport.CloseIdleConnections()
 	var version *uint64
+	var asked string // the address that version is of: versions of two agents need not compare
 	back, faults := backOff, 0
 	on := !w.Ask
 	for ctx.Err() == nil {
@@ -78,9 +107,16 @@
 				return
 			}
 		}
+		addr, call, done := w.begin(ctx)
+		if addr != asked {
+			asked, version, back = addr, nil, backOff
+			transport.CloseIdleConnections()
+		}
 		w.calls.Add(1)
-		next, err := w.ask(ctx, client, version)
+		next, err := w.ask(call, client, addr, version)
+		moved := call.Err() != nil
 		if err == nil {
+			done()
 			w.version.Store(*next)
 			if version, back = next, backOff; faults > 0 {
 				w.Log.Info().Int("faults", faults).Msg("discovery answers again")
@@ -88,8 +124,8 @@
 			}
 			continue
 		}
-		if ctx.Err() != nil {
-			return
+		if moved {
+			continue
 		}
 		w.faults.Add(1)
 		if faults++; faults == 1 {
@@ -100,33 +136,36 @@
 			version = nil // what it meant to say is not known: the whole list
 		}
 		if w.Ask {
+			done()
 			on = false
 			w.Tell(policy.ListFailed, nil)
 			continue
 		}
 		select {
 		case <-time.After(back):
-		case <-ctx.Done():
+		case <-call.Done(): // the new address is not kept waiting for the old one's faults
 		}
+		done()
 		back = min(2*back, backOffTo)
 	}
 }
 
 // MarshalZerologObject writes the counters into a log line.
 func (w *Watch) MarshalZerologObject(l *zerolog.Event) {
-	l.Uint64("version", w.version.Load()).Uint64("calls", w.calls.Load()).Uint64("faults", w.faults.Load())
+	l.Uint64("version", w.version.Load()).Uint64("calls", w.calls.Load()).Uint64("faults", w.faults.Load()).
+		Uint64("moves", w.moves.Load())
 }
 
 type badDocument struct{ error }
 
-func (w *Watch) ask(ctx context.Context, client *http.Client, version *uint64) (next *uint64, err error) {
+func (w *Watch) ask(ctx context.Context, client *http.Client, addr string, version *uint64) (next *uint64, err error) {
 	defer func() {
 		if fault := recover(); fault != nil {
 			w.Log.Error().Interface("panic", fault).Bytes("stack", debug.Stack()).Msg("panic on a list")
 			err = &badDocument{errors.New("panic")}
 		}
 	}()
-	u := url.URL{Scheme: "http", Host: w.Addr, Path: "/catalog/members"}
+	u := url.URL{Scheme: "http", Host: addr, Path: "/catalog/members"}
 	limit := patience
 	if version != nil {
 		u.RawQuery = "index=" + strconv.FormatUint(*version, 10) + "&wait=" + strconv.Itoa(int(wait/time.Millisecond))
@@ -154,6 +193,11 @@
 	if err != nil {
 		return nil, &badDocument{err}
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if addr != w.addr {
+		return nil, errors.New("moved meanwhile") // the old agent's word must not come after the move
+	}
 	switch {
 	case doc.Reset || version == nil:
 		if len(members) == 0 {
