Server answers are read strictly, and a connection is looked at before it is used again

Ruled out: memory (8 MB), descriptors (233 of 384), the engine's queue.

Now one goroutine writes and reads a connection, peeks before it writes, and answers are checked to the letter as they come. A shortage of descriptors or a part written push no longer rests a cache.

--- a/cmd/minttray/main.go
+++ b/cmd/minttray/main.go
@@ -24,7 +24,8 @@
 
 const (
 	stillComing = 450 * time.Millisecond // clients that connect after SIGTERM
-	longestEnd  = 4 * time.Second        // more than the longest TTL
+	sweepEvery  = time.Second
+	longestEnd  = 4 * time.Second // more than the longest TTL
 )
 
 func main() {
@@ -88,6 +89,16 @@
 	stop := make(chan struct{})
 	go e.Run(stop)
 	go watch.Run(ctx)
+	go func() {
+		for clock := time.NewTicker(sweepEvery); ctx.Err() == nil; {
+			select {
+			case now := <-clock.C:
+				shared.Sweep(now)
+			case <-ctx.Done():
+				clock.Stop()
+			}
+		}
+	}()
 	go f.Serve()
 	log.Info().Str("listen", c.Listen).Int("known", len(known)).Msg("serving")
 
--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"strconv"
 	"strings"
@@ -14,6 +15,7 @@
 	"minttray/internal/buffer"
 	"minttray/internal/engine"
 	"minttray/internal/pool"
+	"minttray/internal/resp"
 	"minttray/policy"
 )
 
@@ -61,62 +63,86 @@
 
 func (a *answers) Read(*engine.Request) (engine.Result, bool, error) {
 	for {
-		n, reply, err := next(a.buf.Bytes())
+		n, res, err := next(a.buf.Bytes())
 		if err != nil {
 			return engine.Result{}, false, err
 		}
 		if n > 0 {
-			res, err := result(reply)
 			a.buf.Take(n)
-			return res, err == nil, err
+			return res, true, nil
 		}
-		if err := a.buf.Fill(a.r); err != nil {
+		if err := a.buf.Fill(a.r); errors.Is(err, buffer.ErrFull) {
+			return engine.Result{}, false, spoilt(err)
+		} else if err != nil {
 			return engine.Result{}, false, err
 		}
 	}
 }
 
-var errGarbage = errors.New("not an answer")
+const longestLine = 512 // of an error, with its load report
 
-// next finds a whole reply at the start of b; n is 0 while some of it is missing.
-func next(b []byte) (n int, reply redcon.RESP, err error) {
-	defer func() {
-		if recover() != nil { // redcon's parser runs over its input on absurd lengths
-			n, err = 0, errGarbage
-		}
-	}()
-	if b[0] != redcon.Array && b[0] != redcon.Error {
-		return 0, reply, errGarbage
-	}
-	n, reply = redcon.ReadNextRESP(b)
-	return n, reply, nil
-}
+// An answer is an array of the value, how it went and the load report, each of which may be null.
+var form = resp.Form{Words: 3, Longest: 64 << 10, Null: true}
 
-// result reads a whole reply. What is not in the form agreed may have run.
-func result(reply redcon.RESP) (engine.Result, error) {
-	if reply.Type == redcon.Error {
-		if word, _, _ := bytes.Cut(reply.Data, []byte(" ")); string(word) == "BUSY" {
-			return engine.Result{Outcome: policy.Full}, nil
-		}
-		return engine.Result{Outcome: policy.Errored, Err: errors.New(strings.ToValidUTF8(string(reply.Data), "?"))}, nil
+func spoilt(why any) error { return fmt.Errorf("%w: %v", pool.ErrSpoilt, why) }
+
+// next finds a whole answer at the start of b; n is 0 while some of it is missing. Only what is in the form agreed, to
+// the letter, is one: a spoilt answer must neither be served nor be taken for the proof that nothing has run, and
+// one that can't become whole must not be waited for. The load report alone may be anything: nothing hangs on it.
+func next(b []byte) (n int, res engine.Result, err error) {
+	if b[0] == redcon.Error {
+		return line(b)
+	}
+	if n, err = form.Check(b); err != nil {
+		return 0, res, spoilt(err)
 	}
+	if n == 0 {
+		return 0, res, nil
+	}
+	_, reply := redcon.ReadNextRESP(b[:n])
 	var parts []redcon.RESP
 	reply.ForEach(func(part redcon.RESP) bool {
 		parts = append(parts, part)
-		return len(parts) < 3
+		return true
 	})
-	if len(parts) == 0 || parts[0].Type != redcon.Bulk {
-		return engine.Result{}, errGarbage
+	if len(parts) != form.Words {
+		return 0, res, spoilt("an array of another length")
 	}
-	res := engine.Result{Outcome: policy.Acked}
-	if len(parts) > 1 && parts[1].Type == redcon.Bulk {
-		how := string(parts[1].Data)
-		res.Missed = how == "miss" || how == "pending"
+	switch how := string(parts[1].Data); {
+	case null(parts[1]), how == "hit":
+	case how == "miss", how == "pending":
+		res.Missed = true
+	default:
+		return 0, res, spoilt("no word for how it went")
 	}
-	if parts[0].Raw[1] == '-' { // $-1: nothing is stored there
+	if null(parts[0]) {
 		res.Outcome = policy.Miss
 	} else {
-		res.Value = bytes.Clone(parts[0].Data)
+		res.Outcome, res.Value = policy.Acked, bytes.Clone(parts[0].Data)
+	}
+	return n, res, nil
+}
+
+func null(part redcon.RESP) bool { return part.Raw[1] == '-' } // $-1
+
+// line reads an error line.
+func line(b []byte) (n int, res engine.Result, err error) {
+	end := bytes.IndexAny(b, "\r\n")
+	switch {
+	case end < 0 && len(b) > longestLine, end > longestLine, end >= 0 && b[end] == '\n':
+		return 0, res, spoilt("a line without an end")
+	case end < 0 || end+1 == len(b):
+		return 0, res, nil
+	case b[end+1] != '\n':
+		return 0, res, spoilt("a broken line")
+	}
+	switch word, _, _ := strings.Cut(string(b[1:end]), " "); word {
+	case "BUSY":
+		res.Outcome = policy.Full
+	case "ERR", "SYNTAX", "NOPERM":
+		res.Outcome, res.Err = policy.Errored, errors.New(strings.ToValidUTF8(string(b[1:end]), "?"))
+	default:
+		return 0, res, spoilt("an unknown error")
 	}
-	return res, nil
+	return end + 2, res, nil
 }
--- /dev/null
+++ b/internal/caches/caches_test.go
@@ -0,0 +1,36 @@
+package caches
+
+import (
+	"bytes"
+	"testing"
+
+	"minttray/policy"
+)
+
+// Whatever comes: no panic, nothing served that is not whole and in form, and what is broken stays so.
+func FuzzNext(f *testing.F) {
+	for _, seed := range []string{"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n", "*3\r\n$-1\r\n$4\r\nmiss\r\n$7\r\nqueue=0\r\n", "-BUSY queue=0\r\n",
+		"-ERR failed\r\n", "*3\r\n$3000000000\r\n", "-\r\n", "*3\r\n$1\r\nv\r\n*0\r\n"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if len(b) == 0 {
+			return
+		}
+		n, res, err := next(b)
+		if n > len(b) || n > 0 && err != nil || n == 0 && res.Outcome != policy.Acked {
+			t.Fatalf("%d, %+v, %v", n, res, err)
+		}
+		if n > 0 && res.Outcome == policy.Acked && !(bytes.HasPrefix(b, []byte("*3\r\n")) && bytes.Contains(b[:n], res.Value)) {
+			t.Errorf("%q serves %q", b, res.Value)
+		}
+		if n > 0 && res.Outcome == policy.Full && !bytes.HasPrefix(b, []byte("-BUSY")) {
+			t.Errorf("%q proves that nothing has run", b)
+		}
+		if more := append(b[:len(b):len(b)], "\r\n$-1\r\n"...); err != nil {
+			if m, _, again := next(more); m > 0 || again == nil {
+				t.Errorf("%q: broken, and whole with more", b)
+			}
+		}
+	})
+}
--- a/internal/pool/budget.go
+++ b/internal/pool/budget.go
@@ -22,6 +22,9 @@
 	Failed    atomic.Int64 // connections that could not be made
 	Panics    atomic.Int64
 	Shortages atomic.Int64 // pushes for which no descriptor was left
+	Stale     atomic.Int64 // connections found ended, or with an answer to nothing, before a push was written
+	Expired   atomic.Int64 // idle connections closed by Sweep
+	Spoilt    atomic.Int64 // answers that were none
 }
 
 // Open is the number of open connections.
@@ -64,6 +67,27 @@
 	return true
 }
 
+// Sweep closes idle connections that the servers have ended, or soon will: a push written as one closes counts as one
+// that may have run. It is called every second or so.
+func (s *Shared) Sweep(now time.Time) {
+	s.mu.Lock()
+	pools := make([]*Pool, 0, len(s.pools))
+	for p := range s.pools {
+		pools = append(pools, p)
+	}
+	s.mu.Unlock()
+	for _, p := range pools {
+		p.mu.Lock()
+		for _, c := range append([]*conn(nil), p.idle...) {
+			if s.Idle > 0 && now.Sub(c.since) > s.Idle*9/10 || c.look() != nil {
+				s.Expired.Add(1)
+				c.close()
+			}
+		}
+		p.mu.Unlock()
+	}
+}
+
 // list adds a pool to those that connections may be reclaimed from, or takes it off.
 func (s *Shared) list(p *Pool, on bool) {
 	s.mu.Lock()
@@ -80,5 +104,6 @@
 func (s *Shared) MarshalZerologObject(l *zerolog.Event) {
 	l.Int64("open", s.open.Load()).Int64("opened", s.Opened.Load()).Int64("reused", s.Reused.Load()).
 		Int64("connect_failed", s.Failed.Load()).Int64("no_descriptor", s.Shortages.Load()).
+		Int64("stale", s.Stale.Load()).Int64("expired", s.Expired.Load()).Int64("spoilt", s.Spoilt.Load()).
 		Int64("panics", s.Panics.Load())
 }
--- a/internal/pool/fault.go
+++ b/internal/pool/fault.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"errors"
 	"fmt"
 
 	"minttray/policy"
@@ -30,11 +31,17 @@
 }
 func (f *Fault) Unwrap() error { return f.Err }
 
+var errNoDescriptor = errors.New("no descriptor left for servers")
+
 // Outcome follows from how far the push had come: a server begins a request when its last byte has come, so
-// anything short of that has never run, and anything past it may have.
+// anything short of that has never run, and anything past it may have. Want of a descriptor here, or a connection
+// that was lost before the request was out, must not take a cache out that may be well.
 func (f *Fault) Outcome() policy.Outcome {
-	if f.Progress < WholeWritten {
-		return policy.ConnectFailed
+	switch {
+	case f.Progress >= WholeWritten:
+		return policy.Broken
+	case f.Progress == PartWritten || errors.Is(f.Err, errNoDescriptor):
+		return policy.Moot
 	}
-	return policy.Broken
+	return policy.ConnectFailed
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net"
-	"os"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -15,7 +14,9 @@
 	"minttray/policy"
 )
 
-const moment = 20 * time.Millisecond // for a goroutine to note that its write has returned
+// settle is how long a connection rests before it is used again: a second copy of an answer, or the server's end of
+// the connection, comes right behind the answer, and is then seen before anything is written.
+const settle = 2 * time.Millisecond
 
 // Protocol is what requests and answers look like.
 type Protocol interface {
@@ -25,6 +26,9 @@
 	Answers(r io.Reader) Answers
 }
 
+// ErrSpoilt is an answer that is none. The request has run, or may have; the connection is of no further use.
+var ErrSpoilt = errors.New("not an answer")
+
 // Answers reads the answers of one connection.
 type Answers interface {
 	Wait() error // until at least a byte is there
@@ -45,11 +49,15 @@
 	retired bool
 }
 
+// conn is one connection. Its one goroutine writes a push and reads its answer; what comes while nothing is out is
+// found by look before the next push is written.
 type conn struct {
 	pool    *Pool
 	nc      net.Conn
 	answers Answers
 	work    chan *push
+	out     []byte // what was last written; the goroutine's
+	used    bool   // has served a push; the goroutine's
 
 	// Under the pool's mutex.
 	push  *push     // nil: idle, or closed
@@ -61,9 +69,6 @@
 	request *engine.Request
 	until   time.Time
 	done    func(engine.Result)
-	written chan struct{} // closed once writing has ended, one way or the other
-	whole   bool          // valid then
-	err     error         // valid then
 
 	// Under the pool's mutex.
 	on      *conn
@@ -77,27 +82,34 @@
 	return p
 }
 
-// Push sends a request on the most recently used idle connection, or on a new one.
+// Push sends a request on the most recently used idle connection that has settled, or on a new one.
 func (p *Pool) Push(r *engine.Request, until time.Time, done func(engine.Result)) func() {
-	out := &push{request: r, until: until, done: done, written: make(chan struct{})}
+	out := &push{request: r, until: until, done: done}
+	p.start(out)
+	return func() { p.giveUp(out) }
+}
+
+func (p *Pool) start(out *push) {
 	p.mu.Lock()
-	if n := len(p.idle); n > 0 {
-		c := p.idle[n-1]
-		p.idle = p.idle[:n-1]
-		c.take(out)
-		p.mu.Unlock()
-		p.shared.Reused.Add(1)
-	} else {
-		p.mu.Unlock()
-		go p.dial(out)
+	defer p.mu.Unlock()
+	if out.givenUp {
+		return
 	}
-	return func() { p.giveUp(out) }
+	settled := time.Now().Add(-settle)
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; c.since.Before(settled) {
+			p.idle = append(p.idle[:i], p.idle[i+1:]...)
+			c.take(out)
+			p.shared.Reused.Add(1)
+			return
+		}
+	}
+	go p.dial(out)
 }
 
 // take hands a push to a connection; the pool's mutex is held.
 func (c *conn) take(out *push) {
 	c.push, out.on = out, c
-	c.nc.SetReadDeadline(time.Time{})
 	c.work <- out // never blocks: one push at a time, and room for one
 }
 
@@ -137,8 +149,6 @@
 	out.done(engine.Result{Outcome: f.Outcome(), Err: f})
 }
 
-var errNoDescriptor = errors.New("no descriptor left for servers")
-
 func (p *Pool) dial(out *push) {
 	if !p.shared.take() {
 		p.fail(out, NeverConnected, errNoDescriptor)
@@ -153,7 +163,6 @@
 	}
 	p.shared.Opened.Add(1)
 	c := &conn{pool: p, nc: nc, answers: p.protocol.Answers(nc), work: make(chan *push, 1)}
-	go c.write()
 	p.mu.Lock()
 	if out.givenUp {
 		c.rest() // made for nothing, so kept for the next
@@ -161,7 +170,9 @@
 		c.take(out)
 	}
 	p.mu.Unlock()
-	c.read()
+	for out := range c.work {
+		c.serve(out)
+	}
 }
 
 // rest puts a connection with nothing out back; the pool's mutex is held.
@@ -172,140 +183,90 @@
 		return
 	}
 	c.since = time.Now()
-	if idle := c.pool.shared.Idle; idle > 0 {
-		// Closed by us well before the server does: a push written as it closes counts as one that may have run.
-		c.nc.SetReadDeadline(c.since.Add(idle * 9 / 10))
-	}
 	c.pool.idle = append(c.pool.idle, c)
 }
 
-// write writes the pushes that the connection is handed. It reports nothing: if a write fails, it closes the
-// connection, and the reader tells what became of the push.
-func (c *conn) write() {
-	var b []byte
-	for out := range c.work {
-		if b = c.send(out, b[:0]); cap(b) > 16<<10 {
-			b = nil
-		}
-	}
-}
-
-func (c *conn) send(out *push, b []byte) []byte {
-	defer close(out.written) // in any case: the reader waits for it
-	defer func() {
-		if fault := recover(); fault != nil {
-			c.pool.panicked(fault)
-			out.err = errPanic
-		}
-		if out.err != nil {
-			c.nc.Close()
-		}
-	}()
-	b = c.pool.protocol.Append(b, out.request, time.Until(out.until))
-	n, err := c.nc.Write(b)
-	out.whole, out.err = n == len(b), err
-	return b
-}
-
-// panicked logs and counts a panic, which ends no more than the connection that it happened on.
-func (p *Pool) panicked(fault any) {
-	p.shared.Panics.Add(1)
-	p.shared.Log.Error().Interface("panic", fault).Str("server", p.addr).Bytes("stack", debug.Stack()).
-		Msg("panic on a connection to a server")
-}
-
 var (
 	errUnasked = errors.New("an answer to nothing")
 	errPanic   = errors.New("panic")
 )
 
-// read takes what comes, until the connection ends.
-func (c *conn) read() {
-	p := c.pool
-	var out *push
+// serve takes one push to its end.
+func (c *conn) serve(out *push) {
+	p, how := c.pool, PartWritten
 	defer func() {
 		if fault := recover(); fault != nil {
 			p.panicked(fault)
-			c.end(AnswerBegun, errPanic)
+			c.end(out, how, errPanic)
 		}
 	}()
-	for {
-		err := c.answers.Wait()
+	if err := c.look(); c.used && err != nil {
+		// Ended by the server, or holding what nobody asked for: an answer from here could be another op's.
+		// Nothing has been written, so the push goes over another connection.
+		p.shared.Stale.Add(1)
 		p.mu.Lock()
-		out = c.push
-		if out != nil && errors.Is(err, os.ErrDeadlineExceeded) {
-			p.mu.Unlock()
-			continue // its idle time ran out just as it was taken for a push
-		}
+		c.push, out.on = nil, nil
+		c.close()
 		p.mu.Unlock()
-		if err != nil {
-			c.end(WholeWritten, err)
-			return
-		}
-		if out == nil {
-			c.end(WholeWritten, errUnasked)
-			return
-		}
-		res, keep, err := c.answers.Read(out.request)
-		if err != nil {
-			c.end(AnswerBegun, err)
-			return
-		}
-		if res.Outcome == policy.Errored && res.Err == nil {
-			res.Err = errors.New("error from " + p.addr)
-		}
-		// An answer that overtook its own request can't be trusted, nor the connection it came on.
-		keep = keep && c.answers.Rest() == 0 && out.hasWritten()
-		p.mu.Lock()
-		if c.push == out {
-			if keep && !c.gone {
-				c.rest()
-			} else {
-				c.push = nil
-				c.close()
-			}
+		p.start(out)
+		return
+	}
+	c.used = true
+	c.out = p.protocol.Append(c.out[:0], out.request, time.Until(out.until))
+	n, err := c.nc.Write(c.out)
+	if n < len(c.out) && err == nil {
+		err = io.ErrShortWrite
+	}
+	if cap(c.out) > 16<<10 {
+		c.out = nil
+	}
+	if err != nil {
+		c.end(out, how, err)
+		return
+	}
+	how = WholeWritten
+	if err := c.answers.Wait(); err != nil {
+		c.end(out, how, err)
+		return
+	}
+	how = AnswerBegun
+	res, keep, err := c.answers.Read(out.request)
+	if err != nil {
+		if errors.Is(err, ErrSpoilt) {
+			p.shared.Spoilt.Add(1)
 		}
-		ended := c.gone
-		p.mu.Unlock()
-		out.done(res)
-		if ended {
-			return
+		c.end(out, how, err)
+		return
+	}
+	if res.Outcome == policy.Errored && res.Err == nil {
+		res.Err = errors.New("error from " + p.addr)
+	}
+	p.mu.Lock()
+	if c.push == out {
+		if keep && c.answers.Rest() == 0 && !c.gone {
+			c.rest()
+		} else {
+			c.push = nil
+			c.close()
 		}
 	}
+	p.mu.Unlock()
+	out.done(res)
 }
 
-// hasWritten tells whether the request went out whole. The writer may be a moment behind a quick answer.
-func (out *push) hasWritten() bool {
-	select {
-	case <-out.written:
-		return out.whole
-	default:
-	}
-	select {
-	case <-out.written:
-		return out.whole
-	case <-time.After(moment):
-		return false
-	}
+// panicked logs and counts a panic, which ends no more than the connection that it happened on.
+func (p *Pool) panicked(fault any) {
+	p.shared.Panics.Add(1)
+	p.shared.Log.Error().Interface("panic", fault).Str("server", p.addr).Bytes("stack", debug.Stack()).
+		Msg("panic on a connection to a server")
 }
 
 // end closes the connection and tells what became of the push that was out on it.
-func (c *conn) end(how Progress, err error) {
+func (c *conn) end(out *push, how Progress, err error) {
 	c.pool.mu.Lock()
-	out := c.push
 	c.push = nil
 	c.close()
 	c.pool.mu.Unlock()
-	if out == nil {
-		return
-	}
-	<-out.written // closing has ended a write that hung
-	if how < AnswerBegun && !out.whole {
-		how = PartWritten
-	}
-	if out.err != nil {
-		err = out.err
-	}
 	c.pool.fail(out, how, err)
 }
 
