Silent, half and bad clients end in time, and an id is taken once

The tests show which: a half command was waited for 10 s and a silent connection for good (front.goOn), ids of open ops were taken again (engine.Submit), inline commands were served (redcon.ReadNextCommand), an empty array got no answer. Where there is no room, silent connections make way before idle ones, and no longer at the price of accepting. Caches missing from a whole list are let go of; only word of their going did that before.

--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -24,6 +24,9 @@
 // Bytes is what was read and not yet taken; it is valid until the next Fill or Take.
 func (b *Buffer) Bytes() []byte { return b.b[b.from:b.to] }
 
+// Size is the memory that it holds.
+func (b *Buffer) Size() int { return len(b.b) }
+
 // Take drops the first n bytes.
 func (b *Buffer) Take(n int) {
 	if b.from += n; b.from == b.to {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +32,7 @@
 	queue    queue
 	ops      atomic.Int64 // held, from Submit to the last push's end
 	bytes    atomic.Int64
+	ids      *ids
 
 	module  *policy.Balancer
 	catalog Catalog
@@ -70,6 +72,11 @@
 func New(o Options) *Engine {
 	e := &Engine{Options: o, held: map[uint32]*op{}, servers: map[uint32]*server{}, origin: time.Now()}
 	e.queue.wake = make(chan struct{}, 1)
+	longest := policy.Time(time.Second / unit)
+	for _, c := range o.Settings.Categories {
+		longest = max(longest, c.TTL)
+	}
+	e.ids = newIDs(time.Duration(longest+overdue) * unit)
 	// The clock counts from 1970, so that a cache's start needs no shift; it is read once and then only runs on
 	// monotonically, whatever is done to the machine's clock.
 	e.offset = policy.Time(e.origin.UnixNano() / int64(unit))
@@ -145,17 +152,22 @@
 // Do runs f on the engine's goroutine.
 func (e *Engine) Do(f func(*Engine)) { e.queue.put(func() { f(e) }) }
 
-// Submit hands an op in. If it returns false, too much is held: the op was not taken, and the front turns it away.
-func (e *Engine) Submit(o *Op) bool {
+// Submit hands an op in. With an error the op was not taken, and the front turns it away.
+func (e *Engine) Submit(o *Op) error {
 	size := int64(len(o.Request.Value) + len(o.Request.Props) + len(o.Request.Key) + len(o.Request.ID))
 	ops, bytes := e.ops.Add(1), e.bytes.Add(size)
 	if ops > int64(e.MaxOps) || bytes > e.MaxBytes {
 		e.ops.Add(-1)
 		e.bytes.Add(-size)
-		return false
+		return ErrFull
+	}
+	if !e.ids.add(o.Request.ID, o.At) {
+		e.ops.Add(-1)
+		e.bytes.Add(-size)
+		return ErrTwice
 	}
 	e.queue.put(func() { e.arrived(o, size) })
-	return true
+	return nil
 }
 
 // Leave tells that an op's client has gone away.
@@ -252,6 +264,14 @@
 func (e *Engine) list(kind policy.ListKind, members []Member) {
 	e.Counters.Lists++
 	entries := make([]policy.Entry, 0, len(members))
+	if kind == policy.ListFull || kind == policy.ListCached {
+		for id, s := range e.servers { // who is missing from a whole list is gone
+			if !slices.ContainsFunc(members, func(m Member) bool { return m.ID == id }) {
+				s.Retire()
+				delete(e.servers, id)
+			}
+		}
+	}
 	for _, m := range members {
 		entries = append(entries, m.Entry)
 		s := e.servers[m.ID]
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -243,18 +243,60 @@
 	e, s := play(t, func(o *Options) { o.MaxOps, o.MaxBytes = 2, 100 })
 	big := s.op("big", 0)
 	big.Request.Value = make([]byte, 200)
-	if e.Submit(big) || !e.Submit(s.op("a", 0)) || !e.Submit(s.op("b", 0)) || e.Submit(s.op("c", 0)) {
+	if e.Submit(big) != ErrFull || e.Submit(s.op("a", 0)) != nil || e.Submit(s.op("b", 0)) != nil ||
+		e.Submit(s.op("c", 0)) != ErrFull {
 		t.Error("the bounds on ops and bytes held don't hold")
 	}
 	at := s.await(0, "push cache")
 	s.answer(at, Result{Outcome: policy.Acked})
 	s.await(at, "acked")
 	settled(e)
-	if !e.Submit(s.op("d", 0)) {
+	if e.Submit(s.op("d", 0)) != nil {
 		t.Error("an op that ended still counts")
 	}
 }
 
+// Danger: an id sent again is served with what belongs to another client, or pushed after its op's end.
+func TestIDIsTakenOnce(t *testing.T) {
+	e, s := play(t, nil)
+	if e.Submit(s.op("a", 0)) != nil || e.Submit(s.op("a", 0)) != ErrTwice {
+		t.Error("an open op's id was taken again")
+	}
+	at := s.await(0, "push cache")
+	s.answer(at, Result{Outcome: policy.Acked, Value: []byte("v")})
+	s.await(at, "acked a v")
+	if e.Submit(s.op("a", 0)) != ErrTwice || e.ops.Load() != 0 {
+		t.Errorf("taken again after its end, or held: %d", e.ops.Load())
+	}
+	now := time.Now()
+	ids := newIDs(time.Second)
+	for i := range 10 * mostIDs {
+		if !ids.add(fmt.Sprint(i), now) {
+			t.Fatalf("%d is new", i)
+		}
+	}
+	if n := len(ids.now) + len(ids.old); n > 2*mostIDs {
+		t.Errorf("%d ids kept", n)
+	}
+	ids.add("x", now.Add(time.Second))
+	if ids.add("x", now.Add(1900*time.Millisecond)) || ids.add("x", now.Add(2*time.Second)) || !ids.add("x", now.Add(4*time.Second)) {
+		t.Error("an id is kept for too short or for good")
+	}
+}
+
+// Danger: a whole list that no longer names a cache leaves its connections open for good.
+func TestMissingFromAWholeListIsGone(t *testing.T) {
+	e, s := play(t, nil)
+	e.List(policy.ListFull, []Member{member(1, policy.Ready), member(9, policy.Ready)})
+	s.await(0, "retire cache2")
+	e.Do(func(e *Engine) {
+		if len(e.servers) != 2 {
+			t.Errorf("%d servers kept", len(e.servers))
+		}
+	})
+	settled(e)
+}
+
 // The module answers each op by its TTL. Should it ever not, the engine does, and says so.
 func TestOverdueOpIsEndedAtItsTTL(t *testing.T) {
 	e, s := play(t, nil)
--- a/internal/front/command.go
+++ b/internal/front/command.go
@@ -12,6 +12,7 @@
 	"github.com/tidwall/redcon"
 
 	"minttray/internal/engine"
+	"minttray/internal/resp"
 )
 
 const (
@@ -22,23 +23,22 @@
 
 var errFraming = errors.New("protocol error")
 
+// A command is an array of bulk strings and nothing else: inline ones are no part of the protocol here.
+var form = resp.Form{Words: 16, Longest: longestValue}
+
 // next takes a whole command off b; n is 0 while some of it is missing. An error means that the framing is lost.
 func next(b []byte, args [][]byte) (n int, words [][]byte, err error) {
-	defer func() {
-		if recover() != nil { // redcon's parser runs over its input on absurd lengths
-			n, words, err = 0, nil, errFraming
-		}
-	}()
-	whole, words, kind, rest, err := redcon.ReadNextCommand(b, args)
-	switch {
-	case err != nil:
+	if n, err = form.Check(b); n == 0 || err != nil {
 		return 0, nil, err
-	case kind == redcon.Tile38:
-		return 0, nil, errFraming
-	case !whole:
-		return 0, nil, nil
 	}
-	return len(b) - len(rest), words, nil
+	whole, words, kind, rest, err := redcon.ReadNextCommand(b[:n], args)
+	if err == nil && (!whole || kind != redcon.Redis || len(rest) > 0 || len(words) == 0) {
+		err = errFraming
+	}
+	if err != nil {
+		return 0, nil, err
+	}
+	return n, words, nil
 }
 
 // Names maps what commands name to the module's numbers.
@@ -76,9 +76,6 @@
 		return nil, errors.New("line break in the properties")
 	}
 	if write {
-		if len(words[4]) > longestValue {
-			return nil, fmt.Errorf("value of %d bytes, at most %d", len(words[4]), longestValue)
-		}
 		o.Request.Value = append([]byte(nil), words[4]...)
 	}
 	o.Key = hash(o.Request.Key)
@@ -112,7 +109,7 @@
 			tenant = true
 		case "d":
 			ms, err := strconv.ParseFloat(value, 64)
-			if err != nil || wait || !(ms > 0) || ms > float64(longestWait/time.Millisecond) {
+			if err != nil || strings.Trim(value, "0123456789.") != "" || wait || !(ms > 0) || ms > float64(longestWait/time.Millisecond) {
 				return fmt.Errorf("d=%s is no waiting time in milliseconds", value)
 			}
 			o.Left = time.Duration(math.Floor(ms * float64(time.Millisecond)))
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -19,17 +19,27 @@
 const (
 	mostWaiting = 256                    // commands of one connection that wait for their answers
 	mostPiled   = 1 << 20                // bytes of answers that one client hasn't read
-	halfCommand = 10 * time.Second       // after which a command that stays half is given up
+	firstWord   = 2 * time.Second        // for the first whole command
+	halfCommand = 2 * time.Second        // for the rest of a command
+	idleClient  = 5 * time.Second        // without an op: many clients ask once and keep their connection for good
+	mostRefused = 16                     // bad commands of one connection; one that sends nothing else ends
 	slowClient  = 10 * time.Second       // for one write
 	halfAtEnd   = 500 * time.Millisecond // for the rest of a command that was half read as the connection was to end
-	linger      = 300 * time.Millisecond
+	linger      = 300 * time.Millisecond // for the client's end, once ours is said
+	mostScrap   = 256 << 10              // bytes that are read and thrown away meanwhile
 )
 
 // conn is one client's connection. One goroutine reads commands, one writes answers in the commands' order.
 type conn struct {
 	front *Front
 	nc    net.Conn
-	buf   buffer.Buffer // the reader's
+	born  time.Time
+
+	// The reader's.
+	buf     buffer.Buffer
+	size    int       // of buf, as far as the front's sum knows it
+	began   time.Time // when the half command in buf began to come
+	refused int
 
 	mu     sync.Mutex
 	slots  []*slot // by command; not yet written
@@ -37,9 +47,11 @@
 	used   time.Time
 	room   sync.Cond // the reader waits for it while too much is piled up
 	wake   chan struct{}
+	heard  bool // a whole command has come
 	half   bool // part of a command has been read
 	ending bool // closed as soon as all that was read is answered
 	grace  bool // the reader waits, once, for the rest of a half command
+	last   bool // all is answered and our side is closed: only the client's end is waited for
 	unread bool // the reader has stopped: no further command is taken
 	ended  bool
 }
@@ -101,7 +113,8 @@
 }
 
 func newConn(f *Front, nc net.Conn) *conn {
-	c := &conn{front: f, nc: nc, wake: make(chan struct{}, 1), used: time.Now()}
+	c := &conn{front: f, nc: nc, wake: make(chan struct{}, 1), born: time.Now()}
+	c.used = c.born
 	c.room.L = &c.mu
 	return c
 }
@@ -115,6 +128,7 @@
 			c.stop() // what was taken still gets its answer
 		}
 	}()
+	defer func() { c.front.buffered.Add(-int64(c.size)) }()
 	args := make([][]byte, 0, 8)
 	for {
 		if !c.goOn() {
@@ -122,12 +136,16 @@
 		}
 		err := c.buf.Fill(c.nc)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			c.finish()
+			if !c.late() {
+				return
+			}
 			continue
 		}
-		if errors.Is(err, buffer.ErrFull) {
-			c.refuse(err)
-			c.stop()
+		if err == nil {
+			err = c.account()
+		}
+		if errors.Is(err, buffer.ErrFull) || errors.Is(err, errMemory) {
+			c.end(&c.front.malformed, err)
 			return
 		}
 		if err != nil {
@@ -139,27 +157,76 @@
 			n, words, err := next(c.buf.Bytes(), args)
 			if err != nil {
 				// Nothing that follows can be told apart any more: what was taken is answered, then it ends.
-				c.refuse(err)
-				c.stop()
+				c.end(&c.front.malformed, err)
 				return
 			}
 			if n == 0 {
 				break
 			}
-			if len(words) > 0 && !c.command(words, at) {
+			if !c.command(words, at) {
 				return
 			}
 			c.buf.Take(n)
+			c.began = time.Time{}
+		}
+		if len(c.buf.Bytes()) == 0 {
+			c.began = time.Time{}
+		} else if c.began.IsZero() {
+			c.began = at
 		}
 	}
 }
 
+var (
+	errMemory = errors.New("too much half read from all clients")
+	errHalf   = errors.New("the rest of the command did not come")
+)
+
+// account keeps the sum of all clients' buffers within its bound: each may grow to hold the longest command, but not
+// all together.
+func (c *conn) account() error {
+	grown := c.buf.Size() - c.size
+	c.size += grown
+	if sum := c.front.buffered.Add(int64(grown)); grown > 0 && sum > c.front.Piled {
+		return errMemory
+	}
+	return nil
+}
+
+// late is called when the reader's time ran out; it tells whether to read on.
+func (c *conn) late() bool {
+	c.mu.Lock()
+	ending, idle := c.ending, len(c.slots) == 0 && time.Since(c.used) >= idleClient
+	half, heard := c.half, c.heard
+	c.mu.Unlock()
+	switch {
+	case ending:
+	case half:
+		c.end(&c.front.halves, errHalf)
+		return false
+	case !heard:
+		c.front.silent.Add(1)
+		c.drop() // nothing was ever asked on it
+		return false
+	case idle:
+		c.front.idle.Add(1)
+		c.finish()
+	}
+	return true
+}
+
+// end answers with an error, and ends the connection once what came before it is answered.
+func (c *conn) end(reason *atomic.Int64, err error) {
+	c.refuse(reason, err)
+	c.stop()
+}
+
 // goOn tells the reader whether to read on, and sets how long.
 func (c *conn) goOn() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.half = len(c.buf.Bytes()) > 0
-	var until time.Time
+	until := time.Now().Add(idleClient)
 	switch {
 	case c.ending && (!c.half || c.grace):
 		c.unread = true
@@ -170,7 +237,11 @@
 		c.grace = true
 		until = time.Now().Add(halfAtEnd)
 	case c.half:
-		until = time.Now().Add(halfCommand)
+		until = c.began.Add(halfCommand)
+	case !c.heard:
+		until = c.born.Add(firstWord)
+	case len(c.slots) == 0:
+		until = c.used.Add(idleClient)
 	}
 	c.nc.SetReadDeadline(until)
 	return true
@@ -184,11 +255,13 @@
 	c.signal()
 }
 
-func (c *conn) refuse(err error) {
-	c.front.malformed.Add(1)
-	c.reserve(&slot{c: c, answer: redcon.AppendError(nil, "ERR "+clean(err.Error()))})
+func (c *conn) refuse(reason *atomic.Int64, err error) {
+	reason.Add(1)
+	c.reserve(&slot{c: c, answer: errorLine(err)})
 }
 
+func errorLine(err error) []byte { return redcon.AppendError(nil, "ERR "+clean(err.Error())) }
+
 func clean(s string) string {
 	return strings.Map(func(r rune) rune {
 		if r < ' ' || r == '\ufffd' {
@@ -198,36 +271,53 @@
 	}, s)
 }
 
-// command takes one command; false means that the connection has ended.
+// bad refuses a command whose end is known, so that the connection can go on, unless too many were bad.
+func (c *conn) bad(reason *atomic.Int64, err error) (goOn bool) {
+	c.refuse(reason, err)
+	if c.refused++; c.refused >= mostRefused {
+		c.front.hopeless.Add(1)
+		c.stop()
+		return false
+	}
+	return true
+}
+
+// command takes one command; false means that nothing more is read from the connection.
 func (c *conn) command(words [][]byte, at time.Time) bool {
 	name := strings.ToUpper(string(words[0][:min(len(words[0]), 32)]))
 	switch name {
 	case "CACHE.GET", "CACHE.SET":
 		op, err := c.front.Names.parse(words, name == "CACHE.SET")
 		if err != nil {
-			c.refuse(err)
-			return true
+			return c.bad(&c.front.malformed, err)
 		}
 		s := &slot{c: c, op: op}
 		op.At, op.Reply = at, s
 		if !c.reserve(s) {
 			return false
 		}
-		if !c.front.Engine.Submit(op) {
-			c.front.full.Add(1)
-			c.mu.Lock()
-			s.op = nil
-			c.mu.Unlock()
-			s.Nacked(0)
+		err = c.front.Engine.Submit(op)
+		if err == nil {
+			return true
+		}
+		c.mu.Lock()
+		s.op = nil
+		c.mu.Unlock()
+		if errors.Is(err, engine.ErrTwice) {
+			// The op that has this id stays untouched: a value for it belongs to its own client alone.
+			s.put(&c.front.twice, errorLine(err))
+			c.refused++
+			return true
 		}
+		c.front.full.Add(1)
+		s.Nacked(0)
 		return true
 	case "PING":
 		return c.reserve(&slot{c: c, answer: []byte("+PONG\r\n")})
 	case "CLIENT", "SELECT":
 		return c.reserve(&slot{c: c, answer: []byte("+OK\r\n")})
 	}
-	c.refuse(errors.New("unknown command '" + name + "'"))
-	return true
+	return c.bad(&c.front.malformed, errors.New("unknown command '"+name+"'"))
 }
 
 // reserve appends a slot, once there is room; false means that the connection has ended.
@@ -241,6 +331,7 @@
 		return false
 	}
 	c.slots = append(c.slots, s)
+	c.heard = true
 	c.piled += len(s.answer)
 	c.front.piled.Add(int64(len(s.answer)))
 	c.used = time.Now()
@@ -319,10 +410,14 @@
 // could overtake the last answer: so our side ends first, and the client's is read to its end.
 func (c *conn) bye() {
 	if half, ok := c.nc.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		c.mu.Lock()
+		c.last = true
+		c.mu.Unlock()
 		c.nc.SetReadDeadline(time.Now().Add(linger))
-		scrap := make([]byte, 512)
-		for {
-			if _, err := c.nc.Read(scrap); err != nil {
+		scrap := make([]byte, 4<<10)
+		for read := 0; read < mostScrap; {
+			n, err := c.nc.Read(scrap)
+			if read += n; err != nil {
 				break
 			}
 		}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -20,7 +20,7 @@
 
 // Engine is where ops go.
 type Engine interface {
-	Submit(*engine.Op) bool
+	Submit(*engine.Op) error
 	Leave(*engine.Op)
 }
 
@@ -29,7 +29,7 @@
 	Engine Engine
 	Names  Names
 	Conns  int   // open at once
-	Piled  int64 // bytes of answers that all clients together may leave unread
+	Piled  int64 // bytes of answers that all clients together may leave unread, and of commands half read
 	Log    zerolog.Logger
 
 	listener *net.TCPListener
@@ -38,8 +38,11 @@
 	closing  bool
 	changed  chan struct{} // a connection has ended
 
-	piled                                                                atomic.Int64
-	slow, accepted, acked, nacked, deadLettered, full, malformed, panics atomic.Int64
+	piled, buffered atomic.Int64 // bytes, of unread answers and of the connections' buffers
+
+	accepted, acked, nacked, deadLettered, full, twice, malformed, panics atomic.Int64
+	// Why connections were ended.
+	slow, silent, halves, idle, evicted, crowded, hopeless atomic.Int64
 }
 
 // Listen opens the address. If the proxy that was here before is still ending, it waits for a while.
@@ -76,44 +79,75 @@
 			continue
 		}
 		f.accepted.Add(1)
-		c := newConn(f, nc)
-		f.mu.Lock()
-		f.conns[c] = struct{}{}
-		f.mu.Unlock()
-		go c.read()
-		go c.write()
-		f.shrink(c)
+		f.admit(nc)
 	}
 }
 
-// shrink brings the connections back within their number before the next is accepted: the one that has been idle
-// for longest ends, but for the newest, which is about to bring its first command.
-func (f *Front) shrink(newest *conn) {
-	for {
+const (
+	fresh   = 25 * time.Millisecond  // a client that has just connected is about to send
+	patient = 100 * time.Millisecond // for a descriptor to become free
+)
+
+// admit takes a new connection in, once there is room for it. Where there is none, others make way: first those that
+// have never sent a whole command, the oldest ahead, then the one that has been idle for longest, never one with an
+// op open or half a command read. The newest wait for a moment in the listener's queue rather than being thrown out
+// by those that come behind them: silent connections arrive by hundreds, and good clients among them.
+func (f *Front) admit(nc net.Conn) {
+	for late := time.Now().Add(patient); ; {
 		f.mu.Lock()
-		n := len(f.conns)
-		var oldest *conn
-		if n > f.Conns {
-			for c := range f.conns {
-				c.mu.Lock()
-				if c != newest && len(c.slots) == 0 && !c.half && !c.ending && (oldest == nil || c.used.Before(oldest.used)) {
-					oldest = c
-				}
-				c.mu.Unlock()
-			}
+		if len(f.conns) < f.Conns {
+			c := newConn(f, nc)
+			f.conns[c] = struct{}{}
+			f.mu.Unlock()
+			go c.read()
+			go c.write()
+			return
 		}
+		silent, idle, young := f.dispensable(time.Now().Add(-fresh))
 		f.mu.Unlock()
-		if n <= f.Conns {
+		switch {
+		case silent != nil:
+			f.evicted.Add(1)
+			silent.drop()
+			continue
+		case idle != nil && !young:
+			f.evicted.Add(1)
+			idle.finish()
+		case time.Now().After(late):
+			f.crowded.Add(1)
+			nc.Close()
 			return
 		}
-		if oldest != nil {
-			oldest.finish()
-		}
 		select {
 		case <-f.changed:
-		case <-time.After(10 * time.Millisecond):
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+// dispensable finds the oldest connection that has been silent since before a time, or one that has had its last
+// answer before it and only waits for the client's end; the one idle for longest; and whether some have said nothing yet
+// but may be about to.
+func (f *Front) dispensable(before time.Time) (silent, idle *conn, young bool) {
+	for c := range f.conns {
+		c.mu.Lock()
+		switch {
+		case c.last:
+			if c.used.Before(before) {
+				silent = c
+			}
+		case c.ending || c.half || len(c.slots) > 0:
+		case !c.heard:
+			young = young || !c.born.Before(before)
+			if c.born.Before(before) && (silent == nil || c.born.Before(silent.born)) {
+				silent = c
+			}
+		case idle == nil || c.used.Before(idle.used):
+			idle = c
 		}
+		c.mu.Unlock()
 	}
+	return silent, idle, young
 }
 
 func (f *Front) remove(c *conn) {
@@ -167,5 +201,8 @@
 	f.mu.Unlock()
 	l.Int("open", open).Int64("accepted", f.accepted.Load()).Int64("acked", f.acked.Load()).
 		Int64("nacked", f.nacked.Load()).Int64("dead_lettered", f.deadLettered.Load()).
-		Int64("turned_away", f.full.Load()).Int64("slow", f.slow.Load()).Int64("malformed", f.malformed.Load()).Int64("panics", f.panics.Load())
+		Int64("turned_away", f.full.Load()).Int64("twice", f.twice.Load()).Int64("malformed", f.malformed.Load()).
+		Int64("panics", f.panics.Load()).Int64("slow", f.slow.Load()).Int64("silent", f.silent.Load()).
+		Int64("half", f.halves.Load()).Int64("idle", f.idle.Load()).Int64("evicted", f.evicted.Load()).
+		Int64("crowded", f.crowded.Load()).Int64("hopeless", f.hopeless.Load())
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"minttray/internal/buffer"
 	"minttray/internal/engine"
 )
 
@@ -24,14 +25,17 @@
 	full  bool
 }
 
-func (e *fakeEngine) Submit(o *engine.Op) bool {
-	if o.Request.ID == "panic" {
+func (e *fakeEngine) Submit(o *engine.Op) error {
+	switch {
+	case o.Request.ID == "panic":
 		panic("in the front")
+	case o.Request.ID == "twice":
+		return engine.ErrTwice
+	case e.full:
+		return engine.ErrFull
 	}
-	if !e.full {
-		e.taken <- o
-	}
-	return !e.full
+	e.taken <- o
+	return nil
 }
 func (e *fakeEngine) Leave(o *engine.Op) { e.left <- o }
 
@@ -172,7 +176,6 @@
 		words("CACHE.GET", "k", "id"):                             "-ERR wrong number of arguments: 4 words wanted, 3 came",
 		words("CACHE.GET", "k", "id", "c=read,d=5", "v"):          "-ERR wrong number of arguments: 4 words wanted, 5 came",
 		words("CACHE.SET", "k", "id", "c=read,d=5"):               "-ERR wrong number of arguments: 5 words wanted, 4 came",
-		words("CACHE.SET", "k", "id", "c=read,d=5", long):         "-ERR value of 65537 bytes, at most 65536",
 		words("CACHE.GET", "", "id", "c=read,d=5"):                "-ERR key is empty, too long or not plain text",
 		words("CACHE.GET", "k", "i\nd", "c=read,d=5"):             "-ERR id is empty, too long or not plain text",
 		words("CACHE.GET", "k", "id", "c=\r\n,d=5"):               "-ERR line break in the properties",
@@ -188,15 +191,16 @@
 		words("CACHE.GET", "k", "id", "c=read,d=NaN"):             "-ERR d=NaN is no waiting time in milliseconds",
 		words("CACHE.GET", "k", "id", "c=read,d=1e300"):           "-ERR d=1e300 is no waiting time in milliseconds",
 		words("CACHE.GET", "k", "id", "c=read,d=5,d=5"):           "-ERR d=5 is no waiting time in milliseconds",
-		"hello there\r\n":                                         "-ERR unknown command 'HELLO'",
-		"CACHE.GET k\r\n":                                         "-ERR wrong number of arguments: 4 words wanted, 2 came",
+		words("CACHE.GET", "k", "id", "c=read,d=0x1p4"):           "-ERR d=0x1p4 is no waiting time in milliseconds",
+		words("CACHE.GET", "k", "twice", "c=read,d=5"):            "-ERR an op with this id was taken before",
 	} {
 		c := dial(t, f)
 		c.send(sent + words("PING"))
 		c.want(want, "+PONG") // and the connection goes on
 	}
 	for _, sent := range []string{"*x\r\n", "*1\r\nPING\r\n", "*1\r\n$-2\r\nPING\r\n", "*1\r\n$9223372036854775807\r\nPING\r\n",
-		"*1\r\n$3\r\nPING\r\n", "$4 PING\r\n", words(long, long), strings.Repeat("endless", 20000)} {
+		"*1\r\n$3\r\nPING\r\n", "$4 PING\r\n", words(long, long), strings.Repeat("endless", 20000), "hello there\r\n", "CACHE.GET k id c=read,d=5\r\n", "*0\r\n",
+		"*-1\r\n", "*2\r\n$-1\r\n", words("CACHE.SET", "k", "id", "c=read,d=5", long), "*5\r\n$60000000\r\n" + strings.Repeat("x", 1<<20)} {
 		c := dial(t, f)
 		c.send(words("PING"))
 		c.want("+PONG")
@@ -217,7 +221,7 @@
 func TestAnnouncedLengthTakesNoMemory(t *testing.T) {
 	f, _ := serve(t, nil)
 	c := newConn(f, nil)
-	r := strings.NewReader("*1000000000\r\n$1000000000\r\nhalf")
+	r := strings.NewReader("*2\r\n$9\r\nCACHE.SET\r\n$65536\r\nhalf")
 	for c.buf.Fill(r) == nil {
 	}
 	if n, _, err := next(c.buf.Bytes(), nil); n != 0 || err != nil {
@@ -331,6 +335,116 @@
 	other.want("+PONG")
 }
 
+// until waits for what a counter or table will show.
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for late := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(late) {
+			t.Fatal("never: " + what)
+		}
+	}
+}
+
+// Danger: who says nothing, or stops in mid-command, holds a descriptor for good; good clients stay.
+func TestSilentAndHalfConnectionsEnd(t *testing.T) {
+	f, e := serve(t, nil)
+	silent, half, busy := dial(t, f), dial(t, f), dial(t, f)
+	half.send(get("a")[:20])
+	busy.send(get("b"))
+	o := wait(t, e.taken)
+	silent.want("EOF")
+	half.want("-ERR the rest of the command did not come", "EOF")
+	o.Reply.Acked([]byte("v"))
+	busy.want("$1", "v")
+	if f.silent.Load() != 1 || f.halves.Load() != 1 {
+		t.Errorf("%d silent, %d half", f.silent.Load(), f.halves.Load())
+	}
+	busy.want("EOF") // it asked once and stays for good
+	if f.idle.Load() != 1 {
+		t.Errorf("%d idle", f.idle.Load())
+	}
+	until(t, "buffers given back", func() bool { return f.buffered.Load() == 0 })
+}
+
+// Danger: hundreds that connect and say nothing keep good clients out, or have them thrown out.
+func TestSilentConnectionsMakeWayForGoodOnes(t *testing.T) {
+	f, e := serve(t, func(f *Front) { f.Conns = 8 })
+	busy, idle := dial(t, f), dial(t, f)
+	busy.send(get("a"))
+	o := wait(t, e.taken)
+	idle.send(words("PING"))
+	idle.want("+PONG")
+	for range 40 {
+		dial(t, f)
+	}
+	good := dial(t, f)
+	good.send(get("b"))
+	wait(t, e.taken).Reply.Acked([]byte("w"))
+	good.want("$1", "w")
+	o.Reply.Acked([]byte("v"))
+	busy.want("$1", "v")
+	idle.send(words("PING"))
+	idle.want("+PONG")
+	if f.evicted.Load() < 30 {
+		t.Errorf("%d evicted", f.evicted.Load())
+	}
+}
+
+// Danger: buffers that each may grow do so together.
+func TestHalfReadCommandsShareABound(t *testing.T) {
+	f, _ := serve(t, func(f *Front) { f.Piled = 200 << 10 })
+	half := words("CACHE.SET", "k", "id", "c=put,d=5", strings.Repeat("x", 64<<10))
+	var turnedAway int
+	for range 10 {
+		c := dial(t, f)
+		io.WriteString(c, half[:len(half)-5])
+		c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		if strings.HasPrefix(c.line(), "-ERR too much") {
+			turnedAway++
+		}
+	}
+	if held := f.buffered.Load(); turnedAway == 0 || held > f.Piled+int64(10*buffer.Most) {
+		t.Errorf("%d turned away, %d bytes held", turnedAway, held)
+	}
+}
+
+func TestOnlyBadCommandsEndTheConnection(t *testing.T) {
+	f, e := serve(t, nil)
+	c := dial(t, f)
+	c.send(get("a") + strings.Repeat(words("NONSENSE"), 500))
+	wait(t, e.taken).Reply.Acked([]byte("v"))
+	c.want("$1", "v")
+	for range mostRefused {
+		c.want("-ERR unknown command 'NONSENSE'")
+	}
+	c.want("EOF")
+	if f.hopeless.Load() != 1 {
+		t.Errorf("%d hopeless", f.hopeless.Load())
+	}
+}
+
+// Whatever comes: no panic, and what is taken for a command is one.
+func FuzzCommand(f *testing.F) {
+	for _, seed := range []string{get("a"), words("CACHE.SET", "k", "id", "c=put,t=acme,d=4.5", "v"), "*1\r\n$60000000\r\n", "PING\r\n",
+		"*-1\r\n", words("CACHE.GET", "k", "id", "c=read,d=1e9,,=")} {
+		f.Add([]byte(seed))
+	}
+	names := NewNames([]string{"read", "put"}, []string{"acme"})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		n, w, err := next(b, nil)
+		if n > len(b) || n > 0 && (err != nil || len(w) == 0) {
+			t.Fatalf("%d, %q, %v", n, w, err)
+		}
+		if n == 0 {
+			return
+		}
+		if o, err := names.parse(w, len(w) == 5); err == nil && (o.Left <= 0 || o.Key == 0 ||
+			o.Request.Props[o.Request.Wait[0]:o.Request.Wait[1]] == "" || !plain(o.Request.ID)) {
+			t.Errorf("%q made %+v", b, o)
+		}
+	})
+}
+
 func TestIdleConnectionMakesRoomForANewOne(t *testing.T) {
 	f, e := serve(t, func(f *Front) { f.Conns = 2 })
 	busy, idle := dial(t, f), dial(t, f)
