The origin is not asked when less than half its usual time is left

Most that timed out were let out of the queue with little of their target left, failed, and cut the limit for the next. Ruled out: caches (strain 0.06 to 0.2, limits 2 to 7), rests (none then). At fault: pump, which sent whatever was still inside its aim.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -482,8 +482,8 @@
 	for len(b.queue) > 0 && b.origin != nil && b.room(b.origin, b.queue[0]) {
 		o := b.queue[0]
 		b.queue = b.queue[1:]
-		if b.allowed(o, b.origin, b.host.Now()) {
-			b.push(o, b.origin)
+		if now := b.host.Now(); b.allowed(o, b.origin, now) && o.aim-now > b.origin.span.median()*b.Tick/2 {
+			b.push(o, b.origin) // with less time left, it would be asked in vain
 		} else {
 			b.giveUp(o)
 		}
@@ -606,8 +606,7 @@
 	case TimedOut, Errored, Broken:
 		by := 0.7
 		if c == b.origin && how != Broken {
-			// It goes on with work that nobody waits for, and stays jammed unless all back off at once: each
-			// failure in a row cuts deeper.
+			// Work that nobody waits for jams it unless all back off at once: each in a row cuts deeper.
 			by, b.row = 0.7*b.row, b.row/2
 		}
 		if how != Broken { // a connection's end or a spoilt answer says little of its load
