Idle client connections make way at once and before clients run out of theirs

At fault: front.admit, which ended idle connections with a wait for the client's end and one look each 5 ms; and the bound itself, half of the descriptors, where clients keep at most a third: connections that asked once and stayed used those up.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -21,7 +21,7 @@
 	mostPiled   = 1 << 20                // bytes of answers that one client hasn't read
 	firstWord   = 2 * time.Second        // for the first whole command
 	halfCommand = 2 * time.Second        // for the rest of a command
-	idleClient  = 5 * time.Second        // without an op: many clients ask once and keep their connection for good
+	idleClient  = 2 * time.Second        // without an op: many clients ask once and keep their connection for good
 	mostRefused = 16                     // bad commands of one connection; one that sends nothing else ends
 	slowClient  = 10 * time.Second       // for one write
 	halfAtEnd   = 500 * time.Millisecond // for the rest of a command that was half read as the connection was to end
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -84,36 +84,39 @@
 }
 
 const (
-	fresh   = 25 * time.Millisecond  // a client that has just connected is about to send
+	fresh   = 25 * time.Millisecond  // a client that has just connected, or been answered, is about to send
 	patient = 100 * time.Millisecond // for a descriptor to become free
 )
 
-// admit takes a new connection in, once there is room for it. Where there is none, others make way: first those that
-// have never sent a whole command, the oldest ahead, then the one that has been idle for longest, never one with an
-// op open or half a command read. The newest wait for a moment in the listener's queue rather than being thrown out
-// by those that come behind them: silent connections arrive by hundreds, and good clients among them.
+// admit takes a new connection in. Where there is no room, another makes way at once: whoever waited for that in turn
+// would be served too late, would come again, and find a longer queue.
 func (f *Front) admit(nc net.Conn) {
 	for late := time.Now().Add(patient); ; {
 		f.mu.Lock()
-		if len(f.conns) < f.Conns {
-			c := newConn(f, nc)
+		room := len(f.conns) < f.Conns
+		var old, c *conn
+		if len(f.conns) >= f.Conns/2 {
+			old = f.dispensable(time.Now().Add(-fresh), room)
+		}
+		if room {
+			c = newConn(f, nc)
 			f.conns[c] = struct{}{}
-			f.mu.Unlock()
+		}
+		f.mu.Unlock()
+		if old != nil {
+			// If a command crosses this, it was not taken, and its client sends it again.
+			f.evicted.Add(1)
+			old.drop()
+		}
+		if room {
 			go c.read()
 			go c.write()
 			return
 		}
-		silent, idle, young := f.dispensable(time.Now().Add(-fresh))
-		f.mu.Unlock()
-		switch {
-		case silent != nil:
-			f.evicted.Add(1)
-			silent.drop()
+		if old != nil {
 			continue
-		case idle != nil && !young:
-			f.evicted.Add(1)
-			idle.finish()
-		case time.Now().After(late):
+		}
+		if time.Now().After(late) {
 			f.crowded.Add(1)
 			nc.Close()
 			return
@@ -125,29 +128,48 @@
 	}
 }
 
-// dispensable finds the oldest connection that has been silent since before a time, or one that has had its last
-// answer before it and only waits for the client's end; the one idle for longest; and whether some have said nothing yet
-// but may be about to.
-func (f *Front) dispensable(before time.Time) (silent, idle *conn, young bool) {
+// dispensable finds the connection that makes way; never one with an op open or half a command read. First come those
+// that have never sent a command, the oldest ahead, and those that have had their last answer; then the one idle for
+// longest. Those that have only just come are given a moment to speak, unless they are more than a third: silent ones
+// come by hundreds, good ones among them. While there is room, one makes way only where those that have asked, and idle,
+// are more than half: clients have connections to lose, too, and would hold too many to make new ones.
+func (f *Front) dispensable(before time.Time, room bool) *conn {
+	var silent, idle, done *conn
+	unheard, quiet := 0, 0
 	for c := range f.conns {
 		c.mu.Lock()
 		switch {
 		case c.last:
 			if c.used.Before(before) {
-				silent = c
+				done = c
 			}
 		case c.ending || c.half || len(c.slots) > 0:
 		case !c.heard:
-			young = young || !c.born.Before(before)
-			if c.born.Before(before) && (silent == nil || c.born.Before(silent.born)) {
+			unheard++
+			if silent == nil || c.born.Before(silent.born) {
 				silent = c
 			}
-		case idle == nil || c.used.Before(idle.used):
-			idle = c
+		case c.used.Before(before):
+			quiet++
+			if idle == nil || c.used.Before(idle.used) {
+				idle = c
+			}
 		}
 		c.mu.Unlock()
 	}
-	return silent, idle, young
+	switch {
+	case room && quiet < f.Conns/2:
+		return nil
+	case room:
+		return idle
+	case silent != nil && (silent.born.Before(before) || unheard > f.Conns/3):
+		return silent
+	case done != nil:
+		return done
+	case idle != nil:
+		return idle
+	}
+	return silent
 }
 
 func (f *Front) remove(c *conn) {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -390,6 +390,53 @@
 	}
 }
 
+// Danger: where each newcomer waits for another's end in turn, a crowd that asks once and stays makes all of them wait
+// until their time is up, and come again.
+func TestCrowdThatStaysDoesNotHoldUpNewcomers(t *testing.T) {
+	f, e := serve(t, func(f *Front) { f.Conns = 30 })
+	var crowd []*client
+	for range 30 {
+		c := dial(t, f)
+		c.send(words("PING"))
+		c.want("+PONG")
+		crowd = append(crowd, c) // never closes, whatever we do
+	}
+	time.Sleep(2 * fresh)
+	for i := range 20 {
+		c := dial(t, f)
+		c.send(get(fmt.Sprint(i)))
+		wait(t, e.taken).Reply.Acked([]byte("v"))
+		c.want("$1", "v")
+	}
+	f.mu.Lock()
+	n := len(f.conns)
+	f.mu.Unlock()
+	if n > f.Conns || f.evicted.Load() < 20 || f.evicted.Load() > 40 || f.crowded.Load() > 0 {
+		t.Errorf("%d open, %d evicted for 20 newcomers, %d turned away", n, f.evicted.Load(), f.crowded.Load())
+	}
+	for i, c := range crowd[:16] { // the longest idle ones have made way: half, and one for each newcomer from there on
+		if line := c.line(); line != "EOF" {
+			t.Errorf("%d: %s", i, line)
+		}
+	}
+}
+
+// Danger: clients may keep so many connections and no more; who asks once and stays uses them up.
+func TestIdleOnesAreAtMostHalf(t *testing.T) {
+	f, _ := serve(t, func(f *Front) { f.Conns = 40 })
+	for range 20 {
+		c := dial(t, f)
+		c.send(words("PING"))
+		c.want("+PONG")
+	}
+	time.Sleep(2 * fresh)
+	busy := dial(t, f)
+	busy.send(get("a"))
+	if until(t, "one makes way", func() bool { return f.evicted.Load() == 1 }); f.crowded.Load() > 0 {
+		t.Error("a newcomer was turned away")
+	}
+}
+
 // Danger: buffers that each may grow do so together.
 func TestHalfReadCommandsShareABound(t *testing.T) {
 	f, _ := serve(t, func(f *Front) { f.Piled = 200 << 10 })
