--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -284,3 +284,26 @@
 		t.Errorf("%d numbers for 700 caches", len(seen))
 	}
 }
+
+// Danger: on a long day ids are ever new, and what is kept of each fills the memory.
+func TestGoneCachesAreForgotten(t *testing.T) {
+	names := NewNames(nil, nil, zerolog.Nop())
+	decode := func(text string) uint32 {
+		_, members, err := names.decode([]byte(text))
+		if err != nil || len(members) == 0 {
+			t.Fatal(text, err)
+		}
+		return members[0].ID
+	}
+	first := decode(list(1, true, entry("stays", "active"), entry("c0", "active")))
+	for i := range 1000 {
+		decode(list(i, false, entry(fmt.Sprint("c", i+1), "active"), entry(fmt.Sprint("c", i), "left"), entry("never seen", "left")))
+		decode(list(i, false, strings.Replace(entry("stays", "active"), `"b"`, fmt.Sprintf(`"zone%d"`, i), 1)))
+	}
+	if len(names.ids) != 2 || len(names.taken) != 2 || len(names.zones) > mostNames {
+		t.Errorf("%d ids, %d numbers and %d zones kept", len(names.ids), len(names.taken), len(names.zones))
+	}
+	if again := decode(list(9, true, entry("stays", "active"))); again != first || len(names.ids) != 1 {
+		t.Errorf("number %d, then %d; %d ids kept after a whole list", first, again, len(names.ids))
+	}
+}
--- a/internal/discovery/entries.go
+++ b/internal/discovery/entries.go
@@ -68,8 +68,13 @@
 	return number
 }
 
+const mostNames = 256 // of zones or kinds; later ones share a number
+
 func index(names map[string]int, name string) int {
 	i, ok := names[name]
+	if !ok && len(names) >= mostNames {
+		return mostNames
+	}
 	if !ok { // a name that the settings lack gets a number of its own
 		i = len(names)
 		names[name] = i
@@ -100,12 +105,36 @@
 		at[in.ID] = len(members)
 		members = append(members, m)
 	}
+	n.forget(doc)
 	if bad > 0 {
 		n.log.Warn().Int("entries", bad).AnErr("last", last).Msg("entries of the list passed over")
 	}
 	return doc, members, nil
 }
 
+// forget lets go of caches that have gone: over a long day their ids are ever new, and would fill the memory. One that
+// comes back gets its number again, which is a hash of its id.
+func (n *Names) forget(doc document) {
+	listed := map[string]bool{}
+	for _, in := range doc.Instances {
+		if listed[in.ID] = states[in.Lifecycle] != policy.Gone; !listed[in.ID] {
+			n.drop(in.ID)
+		}
+	}
+	for id := range n.ids {
+		if doc.Reset && !listed[id] {
+			n.drop(id)
+		}
+	}
+}
+
+func (n *Names) drop(id string) {
+	if number, ok := n.ids[id]; ok {
+		delete(n.ids, id)
+		delete(n.taken, number)
+	}
+}
+
 func (n *Names) member(in instance) (engine.Member, error) {
 	m := engine.Member{Addr: in.Addr}
 	state, ok := states[in.Lifecycle]
