--- a/policy/policy.go
+++ b/policy/policy.go
@@ -587,7 +587,7 @@
 			b.row = 1
 		}
 		c.span[min(bits.Len(uint(taken/b.Tick)), len(c.span)-1)]++
-		if !c.shared { // what each answer takes is the way there: far caches would shrink to one push
+		if !c.shared && b.Aside { // a miss is all way and no work; that taken for work, far caches shrink to a push
 			c.near = min(cmp.Or(c.near, taken), taken)
 			c.near += (taken - c.near) / 64
 			taken -= c.near
