--- /dev/null
+++ b/cmd/mintlab/main.go
@@ -0,0 +1,278 @@
+// Command mintlab is the laboratory: it plays experiments on real proxies among stand-ins, and judges them.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"minttray/lab/baseline"
+	"minttray/lab/experiment"
+	"minttray/lab/report"
+	"minttray/lab/run"
+)
+
+// Exit statuses.
+const (
+	kept   = 0
+	broken = 1 // a rule, or a proxy crashed
+	wrong  = 2 // unusable input
+	void   = 3 // the run proves nothing
+)
+
+// status is an error that only says how to exit; what there is to say has been said.
+type status int
+
+func (s status) Error() string { return fmt.Sprint("status ", int(s)) }
+
+func main() {
+	root := &cobra.Command{Use: "mintlab", SilenceUsage: true, SilenceErrors: true,
+		Short: "Plays experiments on real proxies among stand-in caches, origin and discovery, on loopback, and judges them.",
+		Long: `mintlab starts real proxies (bin/minttray) among stand-in caches, an origin and discovery agents, sends
+them open-loop load, lets things go wrong as an experiment file says, and judges from a ledger of all that
+was sent and answered whether the four rules were kept.
+
+    mintlab run experiments/calm.toml            one experiment; results under runs/
+    mintlab check experiments/*.toml             what is wrong with a file, by line and field
+    mintlab compare runs/A runs/B                two sets of runs side by side, on the same seeds
+
+Exit status: 0 rules kept, 1 a rule broken or a proxy crashed, 2 unusable input, 3 a run that proves nothing.`}
+	root.AddCommand(runCommand(), worldCommand(), checkCommand(), compareCommand(), showCommand(), judgeCommand())
+	if err := root.Execute(); err != nil {
+		var s status
+		if errors.As(err, &s) {
+			os.Exit(int(s))
+		}
+		fmt.Fprintln(os.Stderr, "mintlab:", err)
+		os.Exit(wrong)
+	}
+}
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{Use: "check FILE...", Short: "Tells what is wrong with experiment files, by file, line and field.",
+		Args: cobra.MinimumNArgs(1), RunE: func(cmd *cobra.Command, paths []string) error {
+			bad := false
+			for _, path := range paths {
+				if _, err := experiment.Read(path); err != nil {
+					fmt.Fprintln(cmd.ErrOrStderr(), err)
+					bad = true
+				} else {
+					fmt.Fprintf(cmd.OutOrStdout(), "%s: good\n", path)
+				}
+			}
+			if bad {
+				return status(wrong)
+			}
+			return nil
+		}}
+}
+
+func runCommand() *cobra.Command {
+	var out, proxy, rules, sweep string
+	var seeds []uint
+	var repeat int
+	var set []string
+	var quiet bool
+	c := &cobra.Command{Use: "run FILE...", Short: "Plays experiments.", Args: cobra.MinimumNArgs(1),
+		Long: `Plays each experiment, for each rule, each value of the sweep and each seed. Each run leaves a directory
+with result.json, summary.txt, plots and report.html.`,
+		RunE: func(cmd *cobra.Command, paths []string) error {
+			stop := interrupted()
+			key, values, sweeps := strings.Cut(sweep, "=")
+			if sweep != "" && !sweeps {
+				return fmt.Errorf("--sweep %q: key=a,b,c is wanted", sweep)
+			}
+			variants := []string{""}
+			if sweeps {
+				variants = strings.Split(values, ",")
+			}
+			// All files are checked before anything is started.
+			type job struct {
+				path, rule, variant string
+				seed                uint64
+				x                   *experiment.File
+			}
+			var jobs []job
+			for _, path := range paths {
+				for _, variant := range variants {
+					overlay := slices.Clone(set)
+					if sweeps {
+						overlay = append(overlay, key+"="+variant)
+					}
+					x, err := experiment.Read(path, overlay...)
+					if err != nil {
+						return err
+					}
+					first := []uint64{x.Seed}
+					if len(seeds) > 0 {
+						first = first[:0]
+						for _, s := range seeds {
+							first = append(first, uint64(s))
+						}
+					}
+					for _, rule := range strings.Split(rules, ",") {
+						if rule != "minttray" && !slices.Contains(baseline.Names, rule) {
+							return fmt.Errorf("--rules: %q is none of minttray, %s", rule, strings.Join(baseline.Names, ", "))
+						}
+						for _, s := range first {
+							for n := range repeat {
+								copied := *x
+								copied.Seed = s + uint64(n)
+								jobs = append(jobs, job{path, rule, variant, s + uint64(n), &copied})
+							}
+						}
+					}
+				}
+			}
+			worst := kept
+			var all []*report.Result
+			for _, j := range jobs {
+				name := fmt.Sprintf("%s-%s-%d", j.x.Name, j.rule, j.seed)
+				if j.variant != "" {
+					name += "-" + strings.NewReplacer("/", "_", " ", "").Replace(key+"="+j.variant)
+					j.x.Name += " " + key + "=" + j.variant
+				}
+				o := run.Options{Dir: filepath.Join(out, name), Command: []string{proxy}, Rule: j.rule, Stop: stop}
+				if j.rule != "minttray" {
+					o.Command = []string{filepath.Join(filepath.Dir(proxy), "mintbase")}
+					o.Env = []string{"MINTBASE_RULE=" + j.rule}
+				}
+				if !quiet {
+					o.Say = func(format string, args ...any) { fmt.Fprintf(cmd.ErrOrStderr(), format+"\n", args...) }
+					fmt.Fprintf(cmd.ErrOrStderr(), "%s: %s, %v\n", j.path, name, j.x.Length.D())
+				}
+				os.RemoveAll(o.Dir)
+				r, err := run.Play(j.x, o)
+				if err != nil {
+					fmt.Fprintf(cmd.ErrOrStderr(), "%s: %v\n", name, err)
+					return status(void)
+				}
+				all = append(all, r)
+				fmt.Fprintf(cmd.OutOrStdout(), "%sreport: %s\n\n", r.Summary(), filepath.Join(o.Dir, "report.html"))
+				if s := r.Status(); s == broken || s > worst && worst != broken {
+					worst = s
+				}
+				select {
+				case <-stop:
+					return status(void)
+				default:
+				}
+			}
+			if len(all) > 1 {
+				fmt.Fprint(cmd.OutOrStdout(), report.Table(all))
+			}
+			if worst != kept {
+				return status(worst)
+			}
+			return nil
+		}}
+	c.Flags().StringVar(&out, "out", "runs", "directory for results, one for each run below it")
+	c.Flags().StringVar(&proxy, "proxy", "bin/minttray", "the proxy's program; mintbase is looked for beside it")
+	c.Flags().StringVar(&rules, "rules", "minttray", "what decides: minttray, or baselines: "+strings.Join(baseline.Names, ","))
+	c.Flags().UintSliceVar(&seeds, "seeds", nil, "seeds in place of the file's")
+	c.Flags().IntVar(&repeat, "repeat", 1, "runs for each seed, each with the next seed")
+	c.Flags().StringVar(&sweep, "sweep", "", "key=a,b,c: a run for each value, such as load.rate=500,1000")
+	c.Flags().StringArrayVar(&set, "set", nil, "key=value in place of what the file says; may be repeated")
+	c.Flags().BoolVar(&quiet, "quiet", false, "no progress")
+	return c
+}
+
+// interrupted closes what it gives when the lab is told to stop.
+func interrupted() <-chan struct{} {
+	stop := make(chan struct{})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() { <-signals; close(stop) }()
+	return stop
+}
+
+func worldCommand() *cobra.Command {
+	var dir string
+	c := &cobra.Command{Use: "world FILE", Short: "Puts an experiment's caches, origin and discovery up, to try a proxy by hand.",
+		Args: cobra.ExactArgs(1), RunE: func(cmd *cobra.Command, paths []string) error {
+			x, err := experiment.Read(paths[0])
+			if err != nil {
+				return err
+			}
+			return run.Stand(x, dir, func(format string, args ...any) { fmt.Fprintf(cmd.OutOrStdout(), format+"\n", args...) }, interrupted())
+		}}
+	c.Flags().StringVar(&dir, "dir", "runs/world", "where the proxies' configurations are written")
+	return c
+}
+
+func showCommand() *cobra.Command {
+	return &cobra.Command{Use: "report DIR...", Short: "Prints the summaries of runs, and a table of them.", Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, dirs []string) error {
+			all, err := read(dirs)
+			if err != nil {
+				return err
+			}
+			for _, r := range all {
+				fmt.Fprintln(cmd.OutOrStdout(), r.Summary())
+			}
+			fmt.Fprint(cmd.OutOrStdout(), report.Table(all))
+			return nil
+		}}
+}
+
+func compareCommand() *cobra.Command {
+	return &cobra.Command{Use: "compare A B", Short: "Sets two sets of runs side by side, in pairs of the same experiment and seed.",
+		Long: "A and B are runs' directories, or directories of such, or patterns in quotes ('runs/*-minttray-*').",
+		Args: cobra.ExactArgs(2), RunE: func(cmd *cobra.Command, sides []string) error {
+			var both [2][]*report.Result
+			for i, side := range sides {
+				dirs, err := filepath.Glob(side)
+				if err != nil || len(dirs) == 0 {
+					return fmt.Errorf("%s: nothing there", side)
+				}
+				if _, err := os.Stat(filepath.Join(dirs[0], "result.json")); len(dirs) == 1 && err != nil {
+					dirs, _ = filepath.Glob(filepath.Join(dirs[0], "*"))
+				}
+				if both[i], err = read(dirs); err != nil {
+					return err
+				}
+			}
+			fmt.Fprint(cmd.OutOrStdout(), report.Compare(both[0], both[1]))
+			return nil
+		}}
+}
+
+func judgeCommand() *cobra.Command {
+	return &cobra.Command{Use: "judge FILE LEDGER", Short: "Judges a ledger anew, also one of a run that was cut short.", Args: cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			x, err := experiment.Read(args[0])
+			if err != nil {
+				return err
+			}
+			from := time.Now()
+			v, err := run.Judge(args[1], x, nil)
+			if err != nil {
+				return err
+			}
+			r := report.Result{Name: x.Name, Seed: x.Seed, Rule: "ledger", Verdict: v}
+			fmt.Fprintf(cmd.OutOrStdout(), "%sjudged in %v; %d ops held at once; whole: %v\n", r.Summary(), time.Since(from).Round(time.Millisecond), v.MostOpen, v.Whole)
+			if !v.Kept() {
+				return status(broken)
+			}
+			return nil
+		}}
+}
+
+func read(dirs []string) (all []*report.Result, err error) {
+	for _, d := range dirs {
+		r, err := report.Read(d)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, r)
+	}
+	return all, nil
+}
--- a/decide/evidence/weight.go
+++ b/decide/evidence/weight.go
@@ -30,12 +30,13 @@
 
 // Lost is how surely a push without an answer, waited for in full, got lost rather than queued, 0 to 1. A queue
 // that leaves some pushes out past the target latency holds the others nearly as long; where nine tenths of the
-// answers come well ahead of it there is none, however many are lost.
-func Lost(usual *Spans, target float64) float64 {
+// answers come well ahead of it there is none. A server that leaves most of what it is sent unanswered is sick,
+// whatever its last answers were like: good and bad count what it answered and what it did not.
+func Lost(usual *Spans, good, bad, target float64) float64 {
 	if !usual.Enough() {
 		return 0
 	}
-	return 1 - ramp(usual.Quantile(0.9), target/2, 3*target/4)
+	return (1 - ramp(usual.Quantile(0.9), target/2, 3*target/4)) * (1 - ramp(bad/max(good+bad, 1), 0.3, 0.6))
 }
 
 // Patience is how long a push is worth waiting for before another server is asked, where a share of pushes is
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,151 @@
+// Package daemon is one proxy's whole life: it puts front, engine, pools and discovery together round a decision
+// module, and follows the signals.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"minttray/internal/caches"
+	"minttray/internal/config"
+	"minttray/internal/discovery"
+	"minttray/internal/engine"
+	"minttray/internal/front"
+	"minttray/internal/logs"
+	"minttray/internal/origin"
+	"minttray/internal/pool"
+	"minttray/policy"
+)
+
+const (
+	stillComing = 450 * time.Millisecond // clients that connect after SIGTERM
+	sweepEvery  = time.Second
+	longestEnd  = 4 * time.Second // more than the longest TTL
+)
+
+// Module is what decides; NewModule makes one for an engine.
+type (
+	Module    = engine.Module
+	NewModule = func(s policy.Settings, seed uint64, h policy.Host) Module
+)
+
+// Main runs one proxy until SIGTERM or SIGINT.
+func Main(module NewModule) error {
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	return run(os.Getenv, signals, os.Stderr, module)
+}
+
+// run is one proxy, from its configuration to the word to stop.
+func run(get func(string) string, signals <-chan os.Signal, out io.Writer, module NewModule) error {
+	c, err := config.Load(get)
+	if err != nil {
+		return err
+	}
+	if c.Cores > 0 {
+		runtime.GOMAXPROCS(max(int(c.Cores+0.5), 1))
+	}
+	memory := int64(c.MemoryMB) << 20
+	if memory > 0 {
+		debug.SetMemoryLimit(memory * 3 / 4)
+	} else {
+		memory = 1 << 30
+	}
+	log, sink := logs.New(out, get("MINTTRAY_LOG"))
+	defer sink.Close()
+	log = log.With().Str("proxy", c.Name).Logger()
+
+	s := c.Settings
+	shared := &pool.Shared{Dial: s.ConnectTimeout, Idle: s.IdleServer, Sockets: int64(c.Sockets) * 3 / 8, Log: log}
+	if shared.Dial == 0 {
+		shared.Dial = time.Second
+	}
+	maxOps := s.MaxOpen
+	if maxOps <= 0 {
+		maxOps = 1 << 16
+	}
+	e := engine.New(engine.Options{Settings: s.Policy, Seed: c.Seed, Module: module, Logger: log, MaxOps: maxOps, MaxBytes: memory / 8,
+		Connect: func(m engine.Member) engine.Server {
+			if m.Kind == s.Policy.OriginKind {
+				return pool.New(shared, m.Addr, origin.Protocol{Host: m.Addr})
+			}
+			return pool.New(shared, m.Addr, caches.Protocol{})
+		}})
+	names := discovery.NewNames(s.Zones, s.Kinds, log)
+	watch := discovery.New(c.Discovery, names, s.Policy.AskList, log)
+	watch.Tell = e.List
+	known, err := watch.Known(c.Known)
+	if err != nil {
+		return fmt.Errorf("known: %w", err)
+	}
+	f := &front.Front{Engine: e, Names: front.NewNames(s.Categories, s.Tenants), Conns: c.Sockets / 2, Piled: memory / 8, Log: log}
+	if err := f.Listen(c.Listen); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	e.Start(watch, known)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	stop := make(chan struct{})
+	go e.Run(stop)
+	go watch.Run(ctx)
+	go func() {
+		for clock := time.NewTicker(sweepEvery); ctx.Err() == nil; {
+			select {
+			case now := <-clock.C:
+				shared.Sweep(now)
+			case <-ctx.Done():
+				clock.Stop()
+			}
+		}
+	}()
+	go f.Serve()
+	log.Info().Str("listen", c.Listen).Int("known", len(known)).Msg("serving")
+
+	counters := func() {
+		done := make(chan struct{})
+		e.Do(func(e *engine.Engine) {
+			log.Info().Object("engine", &e.Counters).Object("clients", f).Object("servers", shared).
+				Object("discovery", watch).Msg("counters")
+			close(done)
+		})
+		<-done
+	}
+	reload := func() {
+		addr, waiting, err := c.Reload(get)
+		if err != nil {
+			log.Error().Err(err).Msg("configuration not taken; the old one stands")
+			return
+		}
+		watch.Move(addr)
+		if c.Discovery = addr; len(waiting) > 0 {
+			log.Warn().Strs("fields", waiting).Msg("changed fields that wait for a restart")
+		}
+		log.Info().Str("discovery", addr).Msg("configuration read anew")
+	}
+	for sig := range signals {
+		switch sig {
+		case syscall.SIGUSR1:
+			counters()
+			continue
+		case syscall.SIGHUP:
+			reload()
+			continue
+		}
+		break
+	}
+	log.Info().Msg("stopping")
+	if left := f.Stop(stillComing, longestEnd); left > 0 {
+		log.Error().Int("connections", left).Msg("stopped with clients still connected")
+	}
+	counters()
+	close(stop)
+	log.Info().Msg("stopped")
+	return nil
+}
--- a/cmd/minttray/main_test.go
+++ b/internal/daemon/daemon_test.go
@@ -1,10 +1,11 @@
-package main
+package daemon
 
 import (
 	"bufio"
 	"bytes"
 	"fmt"
 	"io"
+	"minttray/policy"
 	"net"
 	"net/http"
 	"os"
@@ -131,7 +132,8 @@
 	signals, ended := make(chan os.Signal, 2), make(chan error, 1)
 	var log bytes.Buffer
 	go func() {
-		ended <- run(func(name string) string { return map[string]string{"BALANCER_CONFIG": path}[name] }, signals, &log)
+		ended <- run(func(name string) string { return map[string]string{"BALANCER_CONFIG": path}[name] }, signals, &log,
+			func(s policy.Settings, seed uint64, h policy.Host) Module { return policy.New(s, seed, h) })
 	}()
 	var c net.Conn
 	var err error
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -17,6 +17,7 @@
 
 // Options is what an engine is made of.
 type Options struct {
+	Module   func(s policy.Settings, seed uint64, h policy.Host) Module // makes what decides
 	Settings policy.Settings
 	Seed     uint64
 	Connect  func(m Member) Server
@@ -34,7 +35,7 @@
 	bytes    atomic.Int64
 	ids      *ids
 
-	module  *policy.Balancer
+	module  Module
 	catalog Catalog
 	origin  time.Time   // of the monotonic clock
 	offset  policy.Time // origin, since 1970
@@ -87,7 +88,7 @@
 // Start makes the module and tells it the list as last had. It comes before Run and before the first op.
 func (e *Engine) Start(catalog Catalog, known []Member) {
 	e.catalog = catalog
-	e.module = policy.New(e.Settings, e.Seed, e)
+	e.module = e.Options.Module(e.Settings, e.Seed, e)
 	e.list(policy.ListCached, known)
 	e.settle()
 }
@@ -152,7 +153,7 @@
 // Do runs f on the engine's goroutine.
 func (e *Engine) Do(f func(*Engine)) {
 	e.queue.put(func() {
-		e.Counters.Judged = e.module.Counts
+		e.Counters.Judged = e.module.Judged()
 		f(e)
 	})
 }
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -103,7 +103,7 @@
 func play(t *testing.T, change func(*Options)) (*Engine, *stage) {
 	s := &stage{t: t, done: map[string]func(Result){}}
 	s.cond = sync.NewCond(&s.mu)
-	o := Options{Seed: 7, Logger: zerolog.Nop(), MaxOps: 100, MaxBytes: 1 << 20,
+	o := Options{Module: func(s policy.Settings, seed uint64, h policy.Host) Module { return policy.New(s, seed, h) }, Seed: 7, Logger: zerolog.Nop(), MaxOps: 100, MaxBytes: 1 << 20,
 		Connect: func(m Member) Server { return &fakeServer{s: s, addr: m.Addr} },
 		Settings: policy.Settings{Proxies: 1, Aside: true, OriginKind: 1, Tick: 50, MostPushes: 3, Cancelling: true,
 			MaxRetryAfter: 10000, FallMultiple: 3, TipAfter: 30000, ColdFrom: 0.5, WarmUp: 50000,
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -63,3 +63,14 @@
 
 // Catalog is the list service, as the module may switch it on and off. It must not block.
 type Catalog interface{ Watch(on bool) }
+
+// Module is what decides for one proxy; policy.Balancer is the one that serves. The engine calls it on its one
+// goroutine, and it acts through the policy.Host that it was made with.
+type Module interface {
+	ListArrived(kind policy.ListKind, entries []policy.Entry)
+	OpArrived(id uint32, key uint64, category, account int, write, again bool, left policy.Time)
+	PushEnded(id uint32, n int, how policy.Outcome, missed, terminal bool, taken policy.Time)
+	ClientLeft(id uint32)
+	TimerDue(token uint64)
+	Judged() policy.Counts
+}
--- /dev/null
+++ b/lab/experiment/experiment.go
@@ -0,0 +1,294 @@
+// Package experiment holds what an experiment file says: a deployment, its load, and what goes wrong when. Files are
+// TOML, decoded strictly; spans are written with their units ("250ms", "1m30s"). What is wrong is named by file, line
+// and field.
+package experiment
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Span is a span of time, written with its unit.
+type Span time.Duration
+
+// UnmarshalText reads "250ms".
+func (s *Span) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is no span of time with a unit, such as \"250ms\"", text)
+	}
+	*s = Span(d)
+	return nil
+}
+
+// MarshalText writes it back.
+func (s Span) MarshalText() ([]byte, error) { return []byte(time.Duration(s).String()), nil }
+
+// D is the span as Go has it.
+func (s Span) D() time.Duration { return time.Duration(s) }
+
+// File is one experiment. Zero values stand for what Defaults says.
+type File struct {
+	Name     string     `toml:"name"`
+	About    string     `toml:"about"`
+	From     string     `toml:"from"` // another file, of the same directory, that this one changes; it has no From itself
+	Seed     uint64     `toml:"seed"`
+	Length   Span       `toml:"length"`
+	Warm     Span       `toml:"warm"` // at the start, not counted in the figures; rules count from the first op
+	Proxies  Proxies    `toml:"proxies"`
+	Caches   Caches     `toml:"caches"`
+	Origin   Origin     `toml:"origin"`
+	Zones    Zones      `toml:"zones"`
+	List     List       `toml:"list"`
+	Category []Category `toml:"category"`
+	Tenant   []Tenant   `toml:"tenant"`
+	Keys     Keys       `toml:"keys"`
+	Load     Load       `toml:"load"`
+	Clients  Clients    `toml:"clients"`
+	Front    Front      `toml:"front"`
+	Rules    Rules      `toml:"rules"`
+	Fault    []Fault    `toml:"fault"`
+
+	path  string
+	lines map[string]int
+}
+
+// Proxies are the instances of minttray.
+type Proxies struct {
+	Count    int     `toml:"count"`
+	Cores    float64 `toml:"cores"`
+	MemoryMB int     `toml:"memory_mb"`
+	Sockets  int     `toml:"sockets"`
+}
+
+// Caches are the cache servers, all alike but for their kind.
+type Caches struct {
+	Count       int     `toml:"count"`
+	Mode        string  `toml:"mode"` // aside: a miss goes back; through: the cache fetches
+	Cores       int     `toml:"cores"`
+	Queue       int     `toml:"queue"` // places to wait in
+	MemoryMB    float64 `toml:"memory_mb"`
+	Connections int     `toml:"connections"`
+	Handshake   Span    `toml:"handshake"` // work of a new connection
+	ColdFrom    float64 `toml:"cold_from"` // share of its capacity that one has right after its start
+	WarmUp      Span    `toml:"warm_up"`
+	Cancel      string  `toml:"cancel"` // what a push that is given up stops: all, queued, none
+	ReportEvery Span    `toml:"report_every"`
+	Small       float64 `toml:"small"` // share of them that are of the kind "small": half the cores
+	Full        bool    `toml:"full"`  // hold the most asked keys at the start
+}
+
+// Origin is what all caches are filled from.
+type Origin struct {
+	Cores  int     `toml:"cores"`
+	Queue  int     `toml:"queue"`
+	Work   Span    `toml:"work"`   // of a fetch, mean
+	Thrash float64 `toml:"thrash"` // slower by this share for each core's worth that waits
+}
+
+// Zones are places with a delay between them.
+type Zones struct {
+	Names []string `toml:"names"`
+	Delay Span     `toml:"delay"` // one way
+}
+
+// List is how the list of caches reaches the proxies.
+type List struct {
+	Late Span `toml:"late"`
+}
+
+// Category is a kind of op.
+type Category struct {
+	Name    string  `toml:"name"`
+	Share   float64 `toml:"share"`
+	Work    Span    `toml:"work"` // mean
+	Target  Span    `toml:"target"`
+	TTL     Span    `toml:"ttl"`
+	Benefit float64 `toml:"benefit"`
+	Effect  string  `toml:"effect"` // redeliverable, deduplicated, at-most-once
+	Group   string  `toml:"group"`  // of a deduplicated one: all, zone
+	Window  Span    `toml:"window"`
+	Write   bool    `toml:"write"`
+	Size    int     `toml:"size"` // bytes of a value
+}
+
+// Tenant is whom ops come from.
+type Tenant struct {
+	Name  string  `toml:"name"`
+	Share float64 `toml:"share"` // of the load
+	Quota float64 `toml:"quota"` // ops a second
+}
+
+// Keys are what ops name.
+type Keys struct {
+	Count int     `toml:"count"`
+	Zipf  float64 `toml:"zipf"`
+	Drift float64 `toml:"drift"` // share of the ranks that go to other keys each second
+}
+
+// Load is the arrivals: Poisson, at a rate, with surges.
+type Load struct {
+	Rate  float64 `toml:"rate"`
+	Surge []Surge `toml:"surge"`
+}
+
+// Surge multiplies the rate for a while.
+type Surge struct {
+	At    Span    `toml:"at"`
+	For   Span    `toml:"for"`
+	Times float64 `toml:"times"`
+}
+
+// Clients are how those who ask behave.
+type Clients struct {
+	Retries  int     `toml:"retries"`
+	Wait     Span    `toml:"wait"`     // before a try that comes again, without advice
+	Patience float64 `toml:"patience"` // share of the TTL after which a try is given up
+	Leave    float64 `toml:"leave"`    // share of the tries whose client goes away early
+	Heed     float64 `toml:"heed"`     // share of the clients that heed a come-back time
+	Marks    bool    `toml:"marks"`
+}
+
+// Front deals clients' connections to proxies, and goes on sending to a dead one for a while.
+type Front struct {
+	Notice Span `toml:"notice"`
+}
+
+// Rules are the figures of the four rules.
+type Rules struct {
+	Grace        Span    `toml:"grace"` // after the list said that a cache drains or has gone
+	FallMultiple float64 `toml:"fall_multiple"`
+	TipAfter     Span    `toml:"tip_after"`
+	MostPushes   int     `toml:"most_pushes"`
+	TwoAtOnce    bool    `toml:"two_at_once"`
+	MaxComeBack  Span    `toml:"max_come_back"`
+	Held         Span    `toml:"held"`  // a refusal so long after the op's last push is held back; 0: half of its category's TTL
+	Slack        Span    `toml:"slack"` // for the machine's own delays
+}
+
+// Fault is one line of the timeline.
+type Fault struct {
+	At    Span    `toml:"at"`
+	For   Span    `toml:"for"`
+	Kind  string  `toml:"kind"`
+	Count int     `toml:"count"`
+	Share float64 `toml:"share"`
+	Zone  string  `toml:"zone"`
+	Of    string  `toml:"of"` // a machine kind: std, small
+	Size  float64 `toml:"size"`
+	Batch float64 `toml:"batch"` // of a roll or deploy: share at a time
+	Down  Span    `toml:"down"`
+	Name  string  `toml:"name"` // of a tenant
+}
+
+// Kinds are the faults there are, and what Size means for each.
+var Kinds = map[string]string{
+	"kill": "", "replace": "", "drain": "", "deploy": "", "still": "", "vanish": "", "reset": "",
+	"slow": "times slower", "refuse": "share turned away", "spoil": "share of answers spoilt",
+	"lose": "share of answers that never come", "error": "share of pushes that fail quickly", "flush": "share of kept copies",
+	"hot-key": "share of the load", "runaway": "times its load", "hot-proxy": "share of the load", "grow": "caches more",
+	"origin-slow": "times slower", "origin-stop": "", "list-late": "seconds later", "list-silent": "", "list-empty": "",
+	"proxy-kill": "", "proxy-term": "", "proxy-roll": "", "impatient": "share of the usual patience",
+}
+
+// Read decodes and checks a file. overlay holds key=value pairs that replace what it says (for sweeps).
+func Read(path string, overlay ...string) (*File, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Decode(path, text, overlay...)
+}
+
+// Decode takes a file's text apart.
+func Decode(path string, text []byte, overlay ...string) (*File, error) {
+	f := Defaults()
+	f.path, f.lines = path, lines(string(text))
+	var head struct {
+		From string `toml:"from"`
+	}
+	if toml.Unmarshal(text, &head); head.From != "" { // what is wrong with the text is found below
+		base := filepath.Join(filepath.Dir(path), filepath.Base(head.From))
+		first, err := os.ReadFile(base)
+		if err != nil {
+			return nil, fmt.Errorf("%s:%d: from: %w", path, f.lines["from"], err)
+		}
+		if err := strict(string(first), f); err != nil {
+			return nil, fmt.Errorf("%s:%w", base, err)
+		}
+		if f.From != "" {
+			return nil, fmt.Errorf("%s: from: a file that others start from has none itself", base)
+		}
+	}
+	if err := strict(string(text), f); err != nil {
+		return nil, fmt.Errorf("%s:%w", path, err)
+	}
+	for _, o := range overlay {
+		table, value, ok := strings.Cut(o, "=")
+		if !ok {
+			return nil, fmt.Errorf("%s: no key=value", o)
+		}
+		line := value
+		if _, err := time.ParseDuration(value); err == nil && strings.Trim(value, "0123456789.") != "" {
+			line = fmt.Sprintf("%q", value)
+		}
+		at, key := "", table
+		if i := strings.LastIndexByte(table, '.'); i >= 0 {
+			at, key = "["+table[:i]+"]\n", table[i+1:]
+		}
+		if err := strict(at+key+" = "+line, f); err != nil {
+			return nil, fmt.Errorf("%s:%w", o, err)
+		}
+	}
+	f.fill()
+	if err := f.check(); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+func strict(text string, f *File) error {
+	d := toml.NewDecoder(strings.NewReader(text))
+	d.DisallowUnknownFields()
+	err := d.Decode(f)
+	var missing *toml.StrictMissingError
+	var wrong *toml.DecodeError
+	switch {
+	case errors.As(err, &missing):
+		row, _ := missing.Errors[0].Position()
+		return fmt.Errorf("%d: %s: unknown field", row, strings.Join(missing.Errors[0].Key(), "."))
+	case errors.As(err, &wrong):
+		row, _ := wrong.Position()
+		return fmt.Errorf("%d: %s: %s", row, strings.Join(wrong.Key(), "."), wrong.Error())
+	case err != nil:
+		return fmt.Errorf(" %w", err)
+	}
+	return nil
+}
+
+// lines finds where each field stands, for errors that are found after decoding.
+func lines(text string) map[string]int {
+	at, table, seen := map[string]int{}, "", map[string]int{}
+	for i, line := range strings.Split(text, "\n") {
+		line = strings.TrimSpace(line)
+		switch key, _, ok := strings.Cut(line, "="); {
+		case strings.HasPrefix(line, "[["):
+			name := strings.Trim(line, "[] ")
+			table = fmt.Sprintf("%s[%d].", name, seen[name])
+			seen[name]++
+			at[strings.TrimSuffix(table, ".")] = i + 1
+		case strings.HasPrefix(line, "["):
+			table = strings.Trim(line, "[] ") + "."
+			at[strings.TrimSuffix(table, ".")] = i + 1
+		case ok && !strings.HasPrefix(line, "#"):
+			at[table+strings.TrimSpace(key)] = i + 1
+		}
+	}
+	return at
+}
--- /dev/null
+++ b/lab/experiment/experiment_test.go
@@ -0,0 +1,44 @@
+package experiment
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = "name = \"x\"\nlength = \"10s\"\n"
+
+// What is wrong is named by file, line and field.
+func TestWhatIsWrongIsNamed(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{good, ""},
+		{good + "[load]\nrate = 12.5\n", ""},
+		{good + "[load]\nrat = 12.5\n", "f.toml:4: load.rat: unknown field"},
+		{good + "[load]\nrate = \"much\"\n", "f.toml:4: load.rate"},
+		{good + "[load]\nrate = 0.0\n", "f.toml:4: load.rate: 0 is not from 0.1 to 50000"},
+		{good + "[caches]\nwarm_up = 8\n", "f.toml:4: caches.warm_up"},
+		{good + "[caches]\nwarm_up = \"8\"\n", "no span of time with a unit"},
+		{good + "[caches]\nmode = \"around\"\n", `f.toml:4: caches.mode: "around" is none of aside, through`},
+		{good + "[[fault]]\nkind = \"kill\"\nat = \"1s\"\n[[fault]]\nat = \"2s\"\nkind = \"explode\"\n", `f.toml:8: fault[1].kind: "explode" is none of`},
+		{good + "[[fault]]\nkind = \"lose\"\nat = \"1s\"\n", "fault[0].size: lose wants a size: share of answers"},
+		{good + "[[fault]]\nkind = \"kill\"\nat = \"11s\"\n", "f.toml:5: fault[0].at: 11s is not from 0s to 10s"},
+		{good + "[[category]]\nname = \"a\"\nshare = 0.4\n", "f.toml:5: category[0].share: the shares sum up to 0.4"},
+		{"length = \"10s\"\n", "f.toml:0: name"},
+		{good + "from = \"none.toml\"\n", "f.toml:3: from: open none.toml"},
+	} {
+		_, err := Decode("f.toml", []byte(c.text))
+		if c.want == "" && err != nil || c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want)) {
+			t.Errorf("%q: %v, want %q", c.text, err, c.want)
+		}
+	}
+}
+
+func TestOverlay(t *testing.T) {
+	x, err := Decode("f.toml", []byte(good), "load.rate=77", "length=12s", "caches.mode=\"through\"")
+	if err != nil || x.Load.Rate != 77 || x.Length.D() != 12*time.Second || x.Caches.Mode != "through" || x.Caches.Cores != 3 {
+		t.Errorf("%+v, %v", x, err)
+	}
+	if _, err := Decode("f.toml", []byte(good), "load.rat=77"); err == nil {
+		t.Error("an unknown field was taken")
+	}
+}
--- /dev/null
+++ b/lab/faults/faults.go
@@ -0,0 +1,284 @@
+// Package faults plays an experiment's timeline against the world and the proxies. What it picks hangs on the seed and
+// the fault's place in the file alone.
+package faults
+
+import (
+	"sync"
+	"time"
+
+	"minttray/lab/experiment"
+	"minttray/lab/world"
+)
+
+// Fleet is the proxies, as faults act on them.
+type Fleet interface {
+	Count() int
+	Kill(n int)        // SIGKILL
+	Term(n int)        // SIGTERM; it comes back by Start
+	Start(n int) error // a new process at the same address
+	Agent(n int) *world.Agent
+}
+
+// Event is what was done, for plots and reports.
+type Event struct {
+	At   float64 `json:"at"`
+	What string  `json:"what"`
+}
+
+// Player plays a timeline.
+type Player struct {
+	w      *world.World
+	fleet  Fleet
+	mu     sync.Mutex
+	events []Event
+	errs   []error
+	wait   sync.WaitGroup
+	stop   <-chan struct{}
+	from   time.Duration
+}
+
+// New makes one; times count from a moment of the run's clock.
+func New(w *world.World, fleet Fleet, from time.Duration, stop <-chan struct{}) *Player {
+	return &Player{w: w, fleet: fleet, from: from, stop: stop}
+}
+
+// Run plays all faults and returns when the last is over.
+func (p *Player) Run() {
+	for n, f := range p.w.Exp.Fault {
+		p.wait.Add(1)
+		go func() {
+			defer p.wait.Done()
+			if p.sleep(p.from + f.At.D() - p.w.Now()) {
+				p.play(uint64(n), f)
+			}
+		}()
+	}
+	p.wait.Wait()
+}
+
+// Events are what was done; errors are what could not be.
+func (p *Player) Events() ([]Event, []error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.events, p.errs
+}
+
+func (p *Player) sleep(span time.Duration) bool {
+	if span <= 0 {
+		return true
+	}
+	select {
+	case <-time.After(span):
+		return true
+	case <-p.stop:
+		return false
+	}
+}
+
+func (p *Player) say(what string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.events = append(p.events, Event{(p.w.Now() - p.from).Seconds(), what})
+}
+
+func (p *Player) failed(err error) {
+	if err != nil {
+		p.mu.Lock()
+		p.errs = append(p.errs, err)
+		p.mu.Unlock()
+	}
+}
+
+// picked are the caches that a fault is about.
+func (p *Player) picked(n uint64, f experiment.Fault) []*world.Cache {
+	var some []*world.Cache
+	for _, c := range p.w.Caches() {
+		kind := "std"
+		if c.Small {
+			kind = "small"
+		}
+		if c.Alive() && (f.Zone == "" || p.w.Exp.Zones.Names[c.Zone] == f.Zone) && (f.Of == "" || f.Of == kind) {
+			some = append(some, c)
+		}
+	}
+	count, share := f.Count, f.Share
+	if count == 0 && share == 0 && (f.Zone != "" || f.Of != "") {
+		share = 1
+	}
+	return world.Pick(p.w.Exp.Seed, n, some, count, share)
+}
+
+// set changes what is wrong with servers for the fault's span.
+func (p *Player) set(f experiment.Fault, of []*world.Faults, do func(*world.Faults, bool)) {
+	for _, x := range of {
+		x.Set(func(x *world.Faults) { do(x, true) })
+	}
+	if f.For > 0 {
+		p.sleep(f.For.D())
+		for _, x := range of {
+			x.Set(func(x *world.Faults) { do(x, false) })
+		}
+		p.say(f.Kind + " is over")
+	}
+}
+
+func (p *Player) play(n uint64, f experiment.Fault) {
+	p.say(f.Kind)
+	switch f.Kind {
+	case "hot-key", "runaway", "hot-proxy", "impatient": // the load's own
+		if f.For > 0 && p.sleep(f.For.D()) {
+			p.say(f.Kind + " is over")
+		}
+	case "grow":
+		for i := range int(f.Size) {
+			if _, err := p.w.Add(i%len(p.w.Exp.Zones.Names), true); err != nil {
+				p.failed(err)
+			}
+		}
+	case "flush":
+		for _, c := range p.w.Caches() {
+			c.Flush(f.Size)
+		}
+	case "origin-slow":
+		p.set(f, []*world.Faults{&p.w.Origin.Fault}, func(x *world.Faults, on bool) { x.Slow = pick(on, f.Size) })
+	case "origin-stop":
+		p.w.Origin.Stop(f.For.D())
+	case "list-late", "list-silent", "list-empty":
+		for i := range p.fleet.Count() {
+			p.fleet.Agent(i).Set(f.Kind == "list-silent", f.Kind == "list-empty", time.Duration(f.Size*float64(time.Second)))
+		}
+		if f.For > 0 {
+			p.sleep(f.For.D())
+			for i := range p.fleet.Count() {
+				p.fleet.Agent(i).Set(false, false, 0)
+			}
+			p.say(f.Kind + " is over")
+		}
+	case "proxy-kill", "proxy-term", "proxy-roll":
+		p.proxies(n, f)
+	default:
+		p.caches(n, f)
+	}
+}
+
+func pick(on bool, size float64) float64 {
+	if on {
+		return size
+	}
+	return 0
+}
+
+func (p *Player) caches(n uint64, f experiment.Fault) {
+	some := p.picked(n, f)
+	var of []*world.Faults
+	for _, c := range some {
+		of = append(of, &c.Fault)
+	}
+	switch f.Kind {
+	case "kill":
+		for _, c := range some {
+			c.Kill()
+		}
+		if f.For > 0 && p.sleep(f.For.D()) {
+			for _, c := range some {
+				p.failed(c.Restart())
+			}
+			p.say("killed caches are back")
+		}
+	case "replace":
+		for _, c := range some {
+			c.Kill()
+			if p.sleep(f.Down.D()) {
+				_, err := p.w.Replace(c)
+				p.failed(err)
+			}
+		}
+	case "drain":
+		for _, c := range some {
+			c.Drain()
+		}
+		if f.For > 0 && p.sleep(f.For.D()) {
+			for _, c := range some {
+				c.Kill()
+			}
+		}
+	case "deploy": // waves: drain, end, a successor at the same address
+		batch := max(int(f.Batch*float64(len(p.w.Caches()))+0.5), 1)
+		for len(some) > 0 {
+			wave := some[:min(batch, len(some))]
+			some = some[len(wave):]
+			for _, c := range wave {
+				c.Drain()
+			}
+			if !p.sleep(f.Down.D()) {
+				return
+			}
+			for _, c := range wave {
+				c.Kill()
+				_, err := p.w.Replace(c)
+				p.failed(err)
+			}
+			if !p.sleep(f.Down.D()) {
+				return
+			}
+		}
+		p.say("deploy is over")
+	case "still":
+		for _, c := range some {
+			c.Still(f.For.D())
+		}
+	case "reset":
+		for _, c := range some {
+			c.Reset()
+		}
+	case "vanish":
+		p.set(f, of, func(x *world.Faults, on bool) { x.Vanished = on })
+	case "slow":
+		p.set(f, of, func(x *world.Faults, on bool) { x.Slow = pick(on, f.Size) })
+	case "refuse":
+		p.set(f, of, func(x *world.Faults, on bool) { x.Refuse = pick(on, f.Size) })
+	case "spoil":
+		p.set(f, of, func(x *world.Faults, on bool) { x.Spoil = pick(on, f.Size) })
+	case "lose":
+		p.set(f, of, func(x *world.Faults, on bool) { x.Lose = pick(on, f.Size) })
+	case "error":
+		p.set(f, of, func(x *world.Faults, on bool) { x.Failing = pick(on, f.Size) })
+	}
+}
+
+// proxies ends some and brings them back, one batch after another.
+func (p *Player) proxies(n uint64, f experiment.Fault) {
+	all := make([]int, p.fleet.Count())
+	for i := range all {
+		all[i] = i
+	}
+	some := world.Pick(p.w.Exp.Seed, n, all, f.Count, f.Share)
+	batch := len(some)
+	if f.Kind == "proxy-roll" {
+		batch = max(int(f.Batch*float64(len(all))+0.5), 1)
+	}
+	for len(some) > 0 {
+		wave := some[:min(batch, len(some))]
+		some = some[len(wave):]
+		var ended sync.WaitGroup
+		for _, i := range wave {
+			ended.Add(1)
+			go func() {
+				defer ended.Done()
+				if f.Kind == "proxy-kill" {
+					p.fleet.Kill(i)
+				} else {
+					p.fleet.Term(i)
+				}
+			}()
+		}
+		ended.Wait()
+		if !p.sleep(f.Down.D()) {
+			return
+		}
+		for _, i := range wave {
+			p.failed(p.fleet.Start(i))
+		}
+	}
+	p.say(f.Kind + " is over")
+}
--- /dev/null
+++ b/lab/ledger/ledger.go
@@ -0,0 +1,131 @@
+// Package ledger writes down what clients sent, what servers were sent and what clients got, and judges the four
+// rules from that alone. It streams to disk: only ops that are still open are held in memory, so that a run of
+// tens of millions fits, and one that was cut short can be judged all the same.
+package ledger
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"time"
+)
+
+// Kind is what a record tells.
+type Kind uint8
+
+// The kinds, with what A, B and C hold.
+const (
+	Sent     Kind = iota // an op's last byte is written to an accepted connection: A proxy life, B category, C wait in µs
+	Answer               // its client got: A an Answers value, B come-back in ms
+	Left                 // its client went away by itself
+	Push                 // a server has a push's last byte: A server, B connection, C work in µs
+	Over                 // a push is over there: A server, B connection, C an Ends value
+	Told                 // a proxy was told of a server: A proxy life, B server, C a States value
+	Started              // a server started: A server, B its capacity in thousandths of a core, C 1 if it is cold
+	Gone                 // a proxy's process ended: A proxy life, C 1 if the lab ended it
+	Effect               // a write was carried out: A server
+	Finished             // the run was whole
+)
+
+// Answers are what a client can get.
+const (
+	Acked = iota
+	Nacked
+	Dead    // an error: no promise
+	Closed  // the connection ended with the answer owed
+	Foreign // a value that was made for another op, or for none
+	Half    // a value that began and did not end
+	Crossed // a connection used before ended as the op was written: a proxy may close one between ops
+)
+
+// Ends are how a push is over at its server.
+const (
+	Answered = iota
+	Missed
+	Refused // never ran
+	Failed
+	Dropped // the connection ended
+	Silent  // no answer will ever come; the connection is still open
+)
+
+// States are what a list can say of a server.
+const (
+	Active = iota
+	Leaving
+	Out
+)
+
+// Record is one line of the ledger.
+type Record struct {
+	Kind    Kind
+	At      time.Duration // on the run's one monotonic clock
+	Op      uint64
+	A, B, C uint32
+}
+
+const size = 32 // of a record on disk
+
+// Book takes records from any goroutine; it never waits for the disk while there is room in its buffer.
+type Book struct {
+	mu   sync.Mutex
+	out  *bufio.Writer
+	file *os.File
+	err  error
+	n    int64
+}
+
+// Create starts a ledger in a file.
+func Create(path string) (*Book, error) {
+	f, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	return &Book{out: bufio.NewWriterSize(f, 1<<20), file: f}, nil
+}
+
+// Put writes a record down. An error of the disk is kept, and voids the run.
+func (b *Book) Put(r Record) {
+	var raw [size]byte
+	raw[0] = byte(r.Kind)
+	binary.LittleEndian.PutUint64(raw[4:], uint64(r.At))
+	binary.LittleEndian.PutUint64(raw[12:], r.Op)
+	binary.LittleEndian.PutUint32(raw[20:], r.A)
+	binary.LittleEndian.PutUint32(raw[24:], r.B)
+	binary.LittleEndian.PutUint32(raw[28:], r.C)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.err == nil {
+		_, b.err = b.out.Write(raw[:])
+		b.n++
+	}
+}
+
+// Close ends the ledger, and tells how many records it has and whether the disk took them all.
+func (b *Book) Close() (int64, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.n, errors.Join(b.err, b.out.Flush(), b.file.Close())
+}
+
+// Read hands on a ledger's records in the order in which they were written. A last one that is cut short is passed
+// over: the run ended there.
+func Read(in io.Reader, each func(Record)) error {
+	r := bufio.NewReaderSize(in, 1<<20)
+	for {
+		var raw [size]byte
+		if _, err := io.ReadFull(r, raw[:]); err == io.EOF || err == io.ErrUnexpectedEOF {
+			return nil
+		} else if err != nil {
+			return err
+		}
+		if raw[0] > byte(Finished) {
+			return fmt.Errorf("a record of unknown kind %d", raw[0])
+		}
+		each(Record{Kind(raw[0]), time.Duration(binary.LittleEndian.Uint64(raw[4:])), binary.LittleEndian.Uint64(raw[12:]),
+			binary.LittleEndian.Uint32(raw[20:]), binary.LittleEndian.Uint32(raw[24:]), binary.LittleEndian.Uint32(raw[28:])})
+	}
+}
--- /dev/null
+++ b/lab/ledger/ledger_test.go
@@ -0,0 +1,162 @@
+package ledger
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+var terms = Terms{
+	Categories: []Category{{TTL: 500 * ms, Held: 200 * ms, Effect: "redeliverable"}, {TTL: 500 * ms, Effect: "at-most-once"},
+		{TTL: 500 * ms, Effect: "deduplicated", Window: 200 * ms, Zone: true}},
+	ServerZone: map[uint32]int{1: 0, 2: 1, 3: 0}, Grace: 100 * ms, FallMultiple: 3, TipAfter: 1000 * ms, ColdFrom: 0.3,
+	WarmUp: 4000 * ms, MostPushes: 3, Slack: 10 * ms,
+}
+
+var kinds = map[string]Kind{"sent": Sent, "left": Left, "push": Push, "over": Over, "told": Told, "started": Started, "gone": Gone}
+var hows = map[string]uint32{"acked": Acked, "nacked": Nacked, "dead": Dead, "closed": Closed, "foreign": Foreign, "half": Half,
+	"crossed": Crossed, "answered": Answered, "missed": Missed, "refused": Refused, "failed": Failed, "dropped": Dropped, "silent": Silent,
+	"leaving": Leaving, "out": Out, "active": Active}
+
+// history reads lines such as "120 push s1 c7" (ms, what, server, connection); ops are op 1 unless "op2" is said.
+func history(t *testing.T, text string) (all []Record) {
+	for _, line := range strings.Split(strings.TrimSpace(text), ";") {
+		w := strings.Fields(line)
+		var at int
+		fmt.Sscan(w[0], &at)
+		r := Record{At: time.Duration(at) * ms, Op: 1, Kind: Answer}
+		if k, ok := kinds[w[1]]; ok {
+			r.Kind = k
+		} else if h, ok := hows[w[1]]; ok {
+			r.A = h
+		} else {
+			t.Fatalf("unknown word %q", w[1])
+		}
+		if r.Kind == Sent {
+			r.A, r.C = 1, 400_000
+		}
+		for _, x := range w[2:] {
+			var n uint32
+			fmt.Sscan(strings.TrimLeft(x, "abcdefghijklmnopqrstuvwxyz"), &n)
+			switch {
+			case strings.HasPrefix(x, "op"):
+				r.Op = uint64(n)
+			case strings.HasPrefix(x, "cat"):
+				r.B = n
+			case strings.HasPrefix(x, "work"):
+				r.C = n * 1000
+			case strings.HasPrefix(x, "cold"):
+				r.B, r.C = 1000, 1
+			case strings.HasPrefix(x, "meant"):
+				r.C = 1
+			case hows[x] > 0 || x == "answered" || x == "active":
+				r.C = hows[x]
+			case x[0] == 'p':
+				r.A = n
+			case x[0] == 's' && r.Kind == Told:
+				r.B = n
+			case x[0] == 's':
+				r.A = n
+			case x[0] == 'c':
+				r.B = n
+			}
+		}
+		all = append(all, r)
+	}
+	return all
+}
+
+// Each rule's breach is caught by its name, and a right proxy is not accused.
+func TestVerdicts(t *testing.T) {
+	for _, c := range []struct{ name, text, broken string }{
+		{"served", "0 sent; 5 push s1 c1; 20 over s1 c1 answered; 21 acked", ""},
+		{"a miss, then the origin", "0 sent; 5 push s1 c1; 8 over s1 c1 missed; 9 push s0 c2; 40 over s0 c2 answered; 41 acked", ""},
+		{"the client goes away", "0 sent; 5 push s1 c1; 30 left; 31 over s1 c1 dropped", ""},
+		{"loses", "0 sent; 5 push s1 c1; 20 over s1 c1 answered", Lost},
+		{"hangs up", "0 sent; 5 push s1 c1; 20 closed", Lost},
+		{"late", "0 sent; 5 push s1 c1; 450 over s1 c1 answered; 451 acked", Lost},
+		{"another op's value", "0 sent; 5 push s1 c1; 20 over s1 c1 answered; 21 foreign", Lost},
+		{"killed by the lab with the op in hand", "0 sent; 5 push s1 c1; 20 gone p1 meant; 20 closed; 20 over s1 c1 dropped", ""},
+		{"killed in the midst of its answer", "0 sent; 5 push s1 c1; 18 over s1 c1 answered; 20 half; 20 gone p1 meant", ""},
+		{"killed, and no word of the connection's end", "0 sent; 5 push s1 c1; 20 gone p1 meant", ""},
+		{"ends by itself with the op in hand", "0 sent; 5 push s1 c1; 20 gone p1; 20 closed", Lost},
+		{"another proxy is killed", "0 sent; 5 push s1 c1; 20 gone p2 meant; 25 closed", Lost},
+		{"closed between two ops, unread", "0 sent; 1 crossed", ""},
+		{"closed after it was read", "0 sent; 5 push s1 c1; 9 crossed; 10 over s1 c1 dropped", Lost},
+		{"answers twice", "0 sent; 5 push s1 c1; 20 over s1 c1 answered; 21 acked; 25 nacked", Twice},
+		{"sends after its answer", "0 sent; 21 nacked; 60 push s1 c1; 70 over s1 c1 answered", After},
+		{"a push that is under way as the answer is", "0 sent; 5 push s1 c1; 20 nacked; 25 push s2 c2; 25 over s1 c1 dropped; 26 over s2 c2 dropped", ""},
+		{"two at once", "0 sent; 5 push s1 c1; 30 push s2 c2; 60 over s1 c1 answered; 61 acked; 62 over s2 c2 dropped", Copies},
+		{"one after the other", "0 sent; 5 push s1 c1; 30 over s1 c1 dropped; 31 push s2 c2; 61 over s2 c2 answered; 62 acked", ""},
+		{"word of a connection's end comes late", "0 sent; 5 push s1 c1; 31 push s2 c2; 33 over s1 c1 dropped; 61 over s2 c2 answered; 62 acked", ""},
+		{"at-most-once, again after it may have run", "0 sent cat1; 5 push s1 c1; 30 over s1 c1 failed; 31 push s2 c2; 61 over s2 c2 answered; 62 acked", Copies},
+		{"at-most-once, again after a refusal", "0 sent cat1; 5 push s1 c1; 30 over s1 c1 refused; 31 push s2 c2; 61 over s2 c2 answered; 62 acked", ""},
+		{"at-most-once, nacked though it may have run", "0 sent cat1; 5 push s1 c1; 30 over s1 c1 dropped; 31 nacked", Promise},
+		{"at-most-once, dead-lettered", "0 sent cat1; 5 push s1 c1; 30 over s1 c1 dropped; 31 dead", ""},
+		{"deduplicated, again in its zone", "0 sent cat2; 5 push s1 c1; 30 over s1 c1 dropped; 31 push s3 c2; 61 over s3 c2 answered; 62 acked", ""},
+		{"deduplicated, again in another zone", "0 sent cat2; 5 push s1 c1; 30 over s1 c1 dropped; 31 push s2 c2; 61 over s2 c2 answered; 62 acked", Copies},
+		{"deduplicated, again past its window", "0 sent cat2; 5 push s1 c1; 30 over s1 c1 dropped; 231 push s3 c2; 261 over s3 c2 answered; 262 acked", Copies},
+		{"too many pushes", "0 sent; 1 push s1 c1; 2 over s1 c1 refused; 3 push s2 c2; 4 over s2 c2 refused; 5 push s3 c3; 6 over s3 c3 refused; 7 push s1 c4; 8 over s1 c4 answered; 9 acked", TooMany},
+		{"pushes to a drained cache", "0 told p1 s1 leaving; 200 sent; 205 push s1 c1; 220 over s1 c1 answered; 221 acked", Drained},
+		{"within the grace", "150 told p1 s1 leaving; 200 sent; 205 push s1 c1; 220 over s1 c1 answered; 221 acked", ""},
+		{"another proxy was told", "0 told p2 s1 leaving; 200 sent; 205 push s1 c1; 220 over s1 c1 answered; 221 acked", ""},
+		{"back since", "0 told p1 s1 out; 50 told p1 s1 active; 200 sent; 205 push s1 c1; 220 over s1 c1 answered; 221 acked", ""},
+		{"sits on its refusal", "0 sent; 5 push s1 c1; 30 over s1 c1 failed; 350 nacked", HeldBack},
+		{"sits on it with nothing ever out", "0 sent; 350 nacked", HeldBack},
+		{"refuses after a long push", "0 sent; 5 push s1 c1; 350 over s1 c1 dropped; 351 nacked", ""},
+		{"a cold cache pushed over", "0 started s1 cold; 0 sent; 5 push s1 c1 work1500; 6 over s1 c1 answered; 7 acked", PushedIn},
+		{"a cold cache within its bound", "0 started s1 cold; 0 sent; 5 push s1 c1 work900; 6 over s1 c1 answered; 7 acked", ""},
+	} {
+		records := history(t, c.text)
+		for try := range 3 { // the verdict hangs on times, not on the order of lines
+			if try > 0 && !strings.Contains(c.text, "started") { // a server is booked before it can be asked
+				rand.New(rand.NewPCG(uint64(try), 1)).Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
+			}
+			j := NewJudge(terms)
+			for _, r := range records {
+				j.Take(r)
+			}
+			j.Take(Record{Kind: Finished, At: 60 * time.Second})
+			v := j.End()
+			if c.broken == "" && !v.Kept() || c.broken != "" && (len(v.Broken) != 1 || v.Broken[c.broken] != 1) {
+				t.Errorf("%s: %v, want %q: %v", c.name, v.Broken, c.broken, v.Findings)
+			}
+		}
+	}
+}
+
+// A run that was cut short can be judged, and only open ops are held.
+func TestLedgerOnDisk(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "ledger")
+	book, err := Create(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 5000 {
+		at := time.Duration(i) * 10 * ms
+		book.Put(Record{Sent, at, uint64(i), 1, 0, 400_000})
+		book.Put(Record{Answer, at + ms, uint64(i), Acked, 0, 0})
+	}
+	if n, err := book.Close(); n != 10000 || err != nil {
+		t.Fatal(n, err)
+	}
+	text, _ := os.ReadFile(path)
+	j := NewJudge(terms)
+	if err := Read(bytes.NewReader(text[:len(text)-5]), j.Take); err != nil {
+		t.Fatal(err)
+	}
+	if v := j.End(); v.Ops != 5000 || v.Answers["acked"] != 4999 || v.Broken[Lost] != 1 || v.Whole || v.MostOpen > 500 {
+		t.Errorf("%+v", v)
+	}
+	text[0] = 99
+	if Read(bytes.NewReader(text), j.Take) == nil {
+		t.Error("a garbled ledger was read")
+	}
+}
--- /dev/null
+++ b/lab/load/front.go
@@ -0,0 +1,113 @@
+package load
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"minttray/lab/experiment"
+)
+
+// Proxy is one instance as the front layer knows it.
+type Proxy struct {
+	Addr string
+	Zone int
+	Life atomic.Uint32 // which of its processes serves now, over all proxies; 0: none does
+
+	mu   sync.Mutex
+	died time.Time // zero: not known to have died
+	idle []*conn
+	open int
+}
+
+// Front deals connections to proxies.
+type Front struct {
+	Proxies []*Proxy
+	Opened  atomic.Int64
+
+	exp *experiment.File
+}
+
+// NewFront makes one for proxies.
+func NewFront(exp *experiment.File, proxies []*Proxy) *Front {
+	return &Front{exp: exp, Proxies: proxies}
+}
+
+// Down tells that a proxy's process is gone; the front notices only later.
+func (p *Proxy) Down() {
+	p.mu.Lock()
+	p.died = time.Now()
+	p.mu.Unlock()
+}
+
+// Up tells that it serves.
+func (p *Proxy) Up() {
+	p.mu.Lock()
+	p.died = time.Time{}
+	p.mu.Unlock()
+}
+
+// pick chooses a proxy: one of the client's zone, unless it is known to be dead.
+func (f *Front) pick(zone int, chance uint64, at time.Duration) *Proxy {
+	for _, x := range f.exp.Fault {
+		if x.Kind == "hot-proxy" && during(x, at) && float64(Mix(chance)>>11)/(1<<53) < x.Size {
+			return f.Proxies[min(x.Count, len(f.Proxies)-1)]
+		}
+	}
+	var near, all []*Proxy
+	for _, p := range f.Proxies {
+		p.mu.Lock()
+		known := !p.died.IsZero() && time.Since(p.died) > f.exp.Front.Notice.D()
+		p.mu.Unlock()
+		if known {
+			continue
+		}
+		if all = append(all, p); p.Zone == zone {
+			near = append(near, p)
+		}
+	}
+	if len(near) == 0 {
+		near = all
+	}
+	if len(near) == 0 {
+		near = f.Proxies
+	}
+	return near[chance%uint64(len(near))]
+}
+
+const mostIdle = 256
+
+// dial gives an idle connection to a proxy, or a new one.
+func (f *Front) dial(p *Proxy, l *Load) (*conn, error) {
+	p.mu.Lock()
+	for n := len(p.idle); n > 0; n = len(p.idle) {
+		c := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		if !c.ended() {
+			p.mu.Unlock()
+			return c, nil
+		}
+	}
+	p.mu.Unlock()
+	life := p.Life.Load()
+	nc, err := net.DialTimeout("tcp", p.Addr, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	f.Opened.Add(1)
+	c := &conn{nc: nc, proxy: p, life: max(life, p.Life.Load()), load: l}
+	go c.read()
+	return c, nil
+}
+
+// back takes a connection with nothing out.
+func (f *Front) back(c *conn) {
+	c.proxy.mu.Lock()
+	defer c.proxy.mu.Unlock()
+	if len(c.proxy.idle) < mostIdle && !c.ended() {
+		c.proxy.idle = append(c.proxy.idle, c)
+	} else {
+		c.nc.Close()
+	}
+}
--- /dev/null
+++ b/lab/measure/measure.go
@@ -0,0 +1,232 @@
+// Package measure counts what clients got: service by second, spans of answers by category and tenant in HDR
+// histograms, the lab's own lateness, and what the proxies' processes use.
+package measure
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"minttray/lab/experiment"
+)
+
+// Outcome is how one op, with all its tries, ended for its client.
+type Outcome struct {
+	Due      time.Duration // when it was due, on the run's clock
+	Span     time.Duration // from due to its answer
+	Category int
+	Tenant   int
+	Acked    bool
+	Tries    int
+	Nacks    int
+	Failed   bool // dead-lettered, closed, or never reached a proxy
+	Left     bool // its client went away by itself: counts for nothing
+}
+
+// Second is one second of a run.
+type Second struct {
+	Ops      int     `json:"ops"`
+	Asked    float64 `json:"asked"`
+	InTime   float64 `json:"in_time"`
+	Late     int     `json:"late"`
+	Nacked   int     `json:"nacked"`
+	Failed   int     `json:"failed"`
+	Tries    int     `json:"tries"`
+	P50      float64 `json:"p50_ms"`
+	P99      float64 `json:"p99_ms"`
+	Fetches  int64   `json:"fetches"`
+	Conns    int     `json:"connections"`
+	Opened   int64   `json:"opened"`
+	Waiting  int     `json:"waiting"` // at all caches
+	CPU      float64 `json:"cpu"`     // cores of all proxies
+	MemoryMB float64 `json:"memory_mb"`
+	hist     *hdrhistogram.Histogram
+}
+
+// Part is the figures of a category, a tenant, or all.
+type Part struct {
+	Name    string  `json:"name"`
+	Ops     int     `json:"ops"`
+	Service float64 `json:"service"` // benefit answered in time, of that asked for
+	P50     float64 `json:"p50_ms"`
+	P90     float64 `json:"p90_ms"`
+	P99     float64 `json:"p99_ms"`
+	P999    float64 `json:"p999_ms"`
+	Max     float64 `json:"max_ms"`
+
+	asked, inTime float64
+	hist          *hdrhistogram.Histogram
+}
+
+// Meter takes outcomes from any goroutine.
+type Meter struct {
+	mu       sync.Mutex
+	exp      *experiment.File
+	seconds  []*Second
+	all      *Part
+	cats     []*Part
+	tenants  []*Part
+	late     *hdrhistogram.Histogram // µs
+	tries    int
+	overload int
+}
+
+func hist() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, int64(10*time.Minute/time.Microsecond), 3)
+}
+
+// New makes one.
+func New(exp *experiment.File) *Meter {
+	m := &Meter{exp: exp, all: &Part{Name: "all", hist: hist()}, late: hist()}
+	for _, c := range exp.Category {
+		m.cats = append(m.cats, &Part{Name: c.Name, hist: hist()})
+	}
+	for _, t := range exp.Tenant {
+		m.tenants = append(m.tenants, &Part{Name: t.Name, hist: hist()})
+	}
+	return m
+}
+
+// Second gives the record of a second, for figures that others fill in.
+func (m *Meter) second(at time.Duration) *Second {
+	n := max(int(at/time.Second), 0)
+	for len(m.seconds) <= n {
+		m.seconds = append(m.seconds, &Second{hist: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 2)})
+	}
+	return m.seconds[n]
+}
+
+// Fill lets a sampler write its figures of a second.
+func (m *Meter) Fill(at time.Duration, do func(*Second)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	do(m.second(at))
+}
+
+// Late books how long after its due moment the lab sent a first try.
+func (m *Meter) Late(span time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.late.RecordValue(max(int64(span/time.Microsecond), 1))
+}
+
+// Overload books an op that the lab itself could not send.
+func (m *Meter) Overload() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.overload++
+}
+
+// Take books an op's end.
+func (m *Meter) Take(o Outcome) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.exp.Category[o.Category]
+	inTime := o.Acked && o.Span <= c.Target.D()
+	s := m.second(o.Due)
+	s.Ops++
+	s.Tries += o.Tries
+	s.Nacked += o.Nacks
+	m.tries += o.Tries
+	if o.Left {
+		return
+	}
+	s.Asked += c.Benefit
+	if inTime {
+		s.InTime += c.Benefit
+	} else if o.Acked {
+		s.Late++
+	}
+	if o.Failed {
+		s.Failed++
+	}
+	us := max(int64(o.Span/time.Microsecond), 1)
+	if o.Acked {
+		s.hist.RecordValue(us)
+	}
+	if o.Due < m.exp.Warm.D() {
+		return
+	}
+	for _, p := range []*Part{m.all, m.cats[o.Category], m.tenants[o.Tenant]} {
+		p.Ops++
+		p.asked += c.Benefit
+		if inTime {
+			p.inTime += c.Benefit
+		}
+		if o.Acked {
+			p.hist.RecordValue(us)
+		}
+	}
+}
+
+// Figures is what a run measured.
+type Figures struct {
+	All        Part      `json:"all"`
+	Categories []Part    `json:"categories"`
+	Tenants    []Part    `json:"tenants"`
+	Seconds    []*Second `json:"seconds"`
+	Worst10    float64   `json:"worst_10s"`
+	Worst10At  int       `json:"worst_10s_at"`
+	TriesPerOp float64   `json:"tries_per_op"`
+	LateP50    float64   `json:"lab_late_p50_ms"`
+	LateP99    float64   `json:"lab_late_p99_ms"`
+	LateIn5    float64   `json:"lab_sent_within_5ms"`
+	Overload   int       `json:"lab_overload"`
+}
+
+func ms(us int64) float64 { return float64(us) / 1000 }
+
+func (p *Part) done() Part {
+	p.Service = p.inTime / max(p.asked, 1e-9)
+	p.P50, p.P90 = ms(p.hist.ValueAtQuantile(50)), ms(p.hist.ValueAtQuantile(90))
+	p.P99, p.P999 = ms(p.hist.ValueAtQuantile(99)), ms(p.hist.ValueAtQuantile(99.9))
+	p.Max = ms(p.hist.Max())
+	return *p
+}
+
+// Done sums up.
+func (m *Meter) Done() Figures {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f := Figures{All: m.all.done(), Worst10: 1, LateP50: ms(m.late.ValueAtQuantile(50)), LateP99: ms(m.late.ValueAtQuantile(99)),
+		Overload: m.overload, TriesPerOp: float64(m.tries)}
+	for _, p := range m.cats {
+		f.Categories = append(f.Categories, p.done())
+	}
+	for _, p := range m.tenants {
+		f.Tenants = append(f.Tenants, p.done())
+	}
+	within := int64(0)
+	for _, b := range m.late.Distribution() {
+		if b.To <= 5000 {
+			within += b.Count
+		}
+	}
+	f.LateIn5 = float64(within) / float64(max(m.late.TotalCount(), 1))
+	ops, last := 0, min(int(m.exp.Length.D()/time.Second), len(m.seconds))
+	for i, s := range m.seconds {
+		ops += s.Ops
+		s.P50, s.P99 = ms(s.hist.ValueAtQuantile(50)), ms(s.hist.ValueAtQuantile(99))
+		if from := int(m.exp.Warm.D() / time.Second); i >= from && i+10 <= last {
+			asked, in := 0.0, 0.0
+			for _, t := range m.seconds[i : i+10] {
+				asked, in = asked+t.Asked, in+t.InTime
+			}
+			if share := in / max(asked, 1e-9); share < f.Worst10 {
+				f.Worst10, f.Worst10At = share, i
+			}
+		}
+	}
+	f.TriesPerOp /= float64(max(ops, 1))
+	f.Seconds = m.seconds
+	return f
+}
+
+// Now is the service of the second before the last whole one, for progress.
+func (m *Meter) Now(at time.Duration) (ops int, service float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.second(max(at-time.Second, 0))
+	return s.Ops, s.InTime / max(s.Asked, 1e-9)
+}
--- /dev/null
+++ b/lab/report/report.go
@@ -0,0 +1,150 @@
+// Package report says what a run showed: a file for programs, a summary for people, plots, and one page that holds all.
+package report
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+
+	"minttray/lab/faults"
+	"minttray/lab/ledger"
+	"minttray/lab/measure"
+)
+
+// Result is one run.
+type Result struct {
+	Name    string          `json:"name"`
+	About   string          `json:"about,omitempty"`
+	Seed    uint64          `json:"seed"`
+	Rule    string          `json:"rule"` // what decided: minttray, or a baseline
+	Length  float64         `json:"length_s"`
+	Warm    float64         `json:"warm_s"`
+	Void    []string        `json:"void,omitempty"` // why it proves nothing
+	Crashes []string        `json:"crashes,omitempty"`
+	Verdict *ledger.Verdict `json:"verdict"`
+	Figures measure.Figures `json:"figures"`
+	Events  []faults.Event  `json:"events"`
+	Peak    measure.Use     `json:"peak"` // CPU: seconds of all proxies together
+	Records int64           `json:"records"`
+	Opened  int64           `json:"connections_opened"` // by clients
+	Refused int64           `json:"connections_refused"`
+	Fetches int64           `json:"origin_fetches"`
+}
+
+// Status is the exit status that a run earns.
+func (r *Result) Status() int {
+	switch {
+	case r.Verdict != nil && !r.Verdict.Kept() || len(r.Crashes) > 0:
+		return 1
+	case len(r.Void) > 0:
+		return 3
+	}
+	return 0
+}
+
+// Write puts everything into a directory.
+func (r *Result) Write(dir string) error {
+	text, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(dir, "result.json"), text, 0o644); err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(dir, "summary.txt"), []byte(r.Summary()), 0o644); err != nil {
+		return err
+	}
+	plots, err := r.plots()
+	if err != nil {
+		return err
+	}
+	for name, svg := range plots {
+		if err := os.WriteFile(filepath.Join(dir, name+".svg"), svg, 0o644); err != nil {
+			return err
+		}
+	}
+	return os.WriteFile(filepath.Join(dir, "report.html"), r.page(plots), 0o644)
+}
+
+// Read takes a result from a run's directory, or from its file.
+func Read(path string) (*Result, error) {
+	if info, err := os.Stat(path); err == nil && info.IsDir() {
+		path = filepath.Join(path, "result.json")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	r := &Result{}
+	if err := json.Unmarshal(text, r); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return r, nil
+}
+
+// Summary is what the terminal shows.
+func (r *Result) Summary() string {
+	var b strings.Builder
+	f := r.Figures
+	fmt.Fprintf(&b, "%s, seed %d, %s\n", r.Name, r.Seed, r.Rule)
+	for _, v := range r.Void {
+		fmt.Fprintf(&b, "VOID: %s\n", v)
+	}
+	for _, c := range r.Crashes {
+		fmt.Fprintf(&b, "CRASH: %s\n", c)
+	}
+	fmt.Fprintf(&b, "service %.4f   worst 10 s %.4f (from %d s)   tries an op %.2f   origin fetches %d\n", f.All.Service, f.Worst10, f.Worst10At,
+		f.TriesPerOp, r.Fetches)
+	fmt.Fprintf(&b, "%-20s %8s %9s %9s %9s %9s %9s\n", "", "ops", "service", "p50 ms", "p90", "p99", "max")
+	for _, p := range append(append([]measure.Part{f.All}, f.Categories...), f.Tenants...) {
+		fmt.Fprintf(&b, "%-20s %8d %9.4f %9.1f %9.1f %9.1f %9.1f\n", p.Name, p.Ops, p.Service, p.P50, p.P90, p.P99, p.Max)
+	}
+	fmt.Fprintf(&b, "proxies: %.2f CPU seconds, %.0f MB and %d descriptors at most in one; client connections opened %d, refused by caches %d\n",
+		r.Peak.CPU, r.Peak.MemoryMB, r.Peak.Descriptors, r.Opened, r.Refused)
+	fmt.Fprintf(&b, "lab: %.2f%% sent within 5 ms of their time, half within %.2f ms, 99%% within %.2f ms\n", 100*f.LateIn5, f.LateP50, f.LateP99)
+	if v := r.Verdict; v != nil {
+		b.WriteString(rules(v))
+	}
+	return b.String()
+}
+
+func rules(v *ledger.Verdict) string {
+	var b strings.Builder
+	names := make([]string, 0, len(v.Answers))
+	for n := range v.Answers {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	fmt.Fprintf(&b, "ledger: %d tries, %d pushes;", v.Ops, v.Pushes)
+	for _, n := range names {
+		fmt.Fprintf(&b, " %s %d,", n, v.Answers[n])
+	}
+	fmt.Fprintf(&b, " clients gone first %d, held by a proxy that was ended %d\n", v.Left, v.Killed)
+	if v.Kept() {
+		fmt.Fprintf(&b, "rules kept (cold caches at %.0f%% of their bound at most, a refusal at most %v after its last push)\n", 100*v.ColdMost,
+			v.HeldMost.Round(1e6))
+		return b.String()
+	}
+	broken := make([]string, 0, len(v.Broken))
+	for n := range v.Broken {
+		broken = append(broken, n)
+	}
+	sort.Strings(broken)
+	for _, n := range broken {
+		fmt.Fprintf(&b, "RULE BROKEN: %s, %d times\n", n, v.Broken[n])
+	}
+	shown := map[string]int{}
+	for _, f := range v.Findings {
+		if shown[f.Rule]++; shown[f.Rule] > 2 {
+			continue
+		}
+		fmt.Fprintf(&b, "  %s %s: %s\n", f.Rule, f.Op, f.What)
+		for _, h := range f.History {
+			fmt.Fprintf(&b, "      %s\n", h)
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/lab/run/fleet.go
@@ -0,0 +1,246 @@
+package run
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"minttray/lab/experiment"
+	"minttray/lab/ledger"
+	"minttray/lab/load"
+	"minttray/lab/measure"
+	"minttray/lab/world"
+)
+
+const (
+	longestStart = 10 * time.Second
+	longestStop  = 8 * time.Second // after SIGTERM; then it is killed
+	lastLines    = 8               // of its log, for a proxy that ended by itself
+)
+
+// fleet is the proxies' processes.
+type fleet struct {
+	x       *experiment.File
+	w       *world.World
+	dir     string
+	command []string
+	env     []string
+	proxies []*load.Proxy
+
+	mu     sync.Mutex
+	agents []*world.Agent
+	procs  []*process
+	lives  uint32
+	failed []string // proxies that ended by themselves
+	used   []measure.Use
+}
+
+type process struct {
+	cmd   *exec.Cmd
+	life  uint32
+	ended chan struct{}
+	meant bool // the lab ended it
+	log   string
+}
+
+// newFleet starts all proxies and waits until they serve.
+func newFleet(x *experiment.File, w *world.World, dir string, command, env []string) (*fleet, error) {
+	f := &fleet{x: x, w: w, dir: dir, command: command, env: env, procs: make([]*process, x.Proxies.Count),
+		used: make([]measure.Use, x.Proxies.Count)}
+	for n := range x.Proxies.Count {
+		zone := n % len(x.Zones.Names)
+		a, err := w.Reg.Agent(n, zone)
+		if err != nil {
+			return f, err
+		}
+		addr, err := world.Free(fmt.Sprintf("127.27.0.%d", n+1))
+		if err != nil {
+			return f, err
+		}
+		f.agents = append(f.agents, a)
+		f.proxies = append(f.proxies, &load.Proxy{Addr: addr, Zone: zone})
+	}
+	errs := make([]error, x.Proxies.Count)
+	var wait sync.WaitGroup
+	for n := range x.Proxies.Count {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			errs[n] = f.Start(n)
+		}()
+	}
+	wait.Wait()
+	return f, errors.Join(errs...)
+}
+
+// Count and the rest are what faults need.
+func (f *fleet) Count() int               { return f.x.Proxies.Count }
+func (f *fleet) Agent(n int) *world.Agent { return f.agents[n] }
+
+// Start starts a proxy's process and waits until it answers PING.
+func (f *fleet) Start(n int) error {
+	path, err := configure(f.dir, f.x, n, f.proxies[n].Addr, f.agents[n].Addr, f.agents[n].List())
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	f.lives++
+	p := &process{life: f.lives, ended: make(chan struct{}), log: filepath.Join(f.dir, fmt.Sprintf("proxy-%d.log", n))}
+	f.mu.Unlock()
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	p.cmd = exec.Command(f.command[0], f.command[1:]...)
+	p.cmd.Env = append(append(os.Environ(), f.env...), "BALANCER_CONFIG="+path)
+	p.cmd.Stderr, p.cmd.Stdout = out, out
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it must not outlive the lab
+	// A connection made from now on can only be to this life: it may accept before the lab has noticed.
+	f.agents[n].Life(p.life)
+	f.proxies[n].Life.Store(p.life)
+	if err := p.cmd.Start(); err != nil {
+		return fmt.Errorf("proxy %d: %w", n, err)
+	}
+	f.mu.Lock()
+	f.procs[n] = p
+	f.mu.Unlock()
+	go f.watch(n, p)
+	for until := time.Now().Add(longestStart); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		select {
+		case <-p.ended:
+			return fmt.Errorf("proxy %d ended before it served: %s", n, tail(p.log))
+		default:
+		}
+		if pong(f.proxies[n].Addr) {
+			f.proxies[n].Up()
+			return nil
+		}
+	}
+	return fmt.Errorf("proxy %d does not serve after %v: %s", n, longestStart, tail(p.log))
+}
+
+func pong(addr string) bool {
+	c, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(time.Second))
+	fmt.Fprint(c, "*1\r\n$4\r\nPING\r\n")
+	line, _ := bufio.NewReader(c).ReadString('\n')
+	return strings.HasPrefix(line, "+PONG")
+}
+
+// watch books the process's end.
+func (f *fleet) watch(n int, p *process) {
+	err := p.cmd.Wait()
+	f.mu.Lock()
+	meant := p.meant
+	if !meant {
+		f.failed = append(f.failed, fmt.Sprintf("proxy %d ended by itself (%v): %s", n, err, tail(p.log)))
+	}
+	f.mu.Unlock()
+	by := uint32(0)
+	if meant {
+		by = 1
+	}
+	f.proxies[n].Down()
+	f.w.Book.Put(ledger.Record{Kind: ledger.Gone, At: f.w.Now(), A: p.life, C: by})
+	close(p.ended)
+}
+
+// tail is the end of a log.
+func tail(path string) string {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	return "\n  " + strings.Join(lines[max(len(lines)-lastLines, 0):], "\n  ")
+}
+
+func (f *fleet) signal(n int, s syscall.Signal) *process {
+	f.mu.Lock()
+	p := f.procs[n]
+	f.mu.Unlock()
+	if p == nil {
+		return nil
+	}
+	select {
+	case <-p.ended:
+		return nil
+	default:
+	}
+	if s == syscall.SIGKILL || s == syscall.SIGTERM {
+		f.mu.Lock()
+		p.meant = true
+		f.mu.Unlock()
+	}
+	p.cmd.Process.Signal(s)
+	return p
+}
+
+// Kill ends a proxy at once.
+func (f *fleet) Kill(n int) {
+	if p := f.signal(n, syscall.SIGKILL); p != nil {
+		<-p.ended
+	}
+}
+
+// Term asks a proxy to end, and ends it if it does not.
+func (f *fleet) Term(n int) {
+	p := f.signal(n, syscall.SIGTERM)
+	if p == nil {
+		return
+	}
+	select {
+	case <-p.ended:
+	case <-time.After(longestStop):
+		f.mu.Lock()
+		f.failed = append(f.failed, fmt.Sprintf("proxy %d did not end within %v of SIGTERM: %s", n, longestStop, tail(p.log)))
+		f.mu.Unlock()
+		f.Kill(n)
+	}
+}
+
+// stop ends all that still runs, by its id.
+func (f *fleet) stop() {
+	var wait sync.WaitGroup
+	for n := range f.procs {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			f.Term(n)
+		}()
+	}
+	wait.Wait()
+}
+
+// use samples what the processes use; the sums of CPU count lives that have ended too.
+func (f *fleet) use() (all []measure.Use) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.procs {
+		u := measure.Use{}
+		if p != nil && p.cmd.Process != nil {
+			u, _ = measure.Process(p.cmd.Process.Pid)
+		}
+		all = append(all, u)
+	}
+	return all
+}
+
+func (f *fleet) faults() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.failed...)
+}
--- /dev/null
+++ b/lab/run/run.go
@@ -0,0 +1,210 @@
+// Package run plays one experiment: it puts the world up, starts the proxies, plays load and faults, ends all that it
+// started, and judges the ledger.
+package run
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"minttray/lab/experiment"
+	"minttray/lab/faults"
+	"minttray/lab/ledger"
+	"minttray/lab/load"
+	"minttray/lab/measure"
+	"minttray/lab/report"
+	"minttray/lab/world"
+)
+
+// Options is what a run is made of beside its file.
+type Options struct {
+	Dir     string   // for its results; made if it is not there
+	Command []string // a proxy's program
+	Env     []string
+	Rule    string // what decides in it, for the report
+	Say     func(format string, args ...any)
+	Stop    <-chan struct{}
+}
+
+const (
+	lateBound  = 5 * time.Millisecond // of the lab itself
+	lateShare  = 0.95                 // of the ops that must be sent within that
+	settleTime = 300 * time.Millisecond
+)
+
+// Play plays an experiment. An error means that there is nothing to judge; a run that proves nothing has its reasons
+// under Void.
+func Play(x *experiment.File, o Options) (*report.Result, error) {
+	if err := os.MkdirAll(o.Dir, 0o755); err != nil {
+		return nil, err
+	}
+	path := filepath.Join(o.Dir, "ledger.bin")
+	book, err := ledger.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	w, err := world.New(x, book)
+	if err != nil {
+		book.Close()
+		return nil, err
+	}
+	defer w.Close()
+	fill(x, w)
+	f, err := newFleet(x, w, o.Dir, o.Command, o.Env)
+	defer f.stop()
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(settleTime)
+	meter := measure.New(x)
+	front := load.NewFront(x, f.proxies)
+	l := load.Start(x, front, book, meter, w.Start())
+	from := w.Now()
+	player := faults.New(w, f, from, o.Stop)
+	played := make(chan struct{})
+	go func() { player.Run(); close(played) }()
+	sampled := make(chan struct{})
+	ended := make(chan struct{})
+	var peak measure.Use
+	go func() {
+		peak = sample(x, w, f, front, meter, from, ended, o.Say)
+		close(sampled)
+	}()
+	l.Run(from, o.Stop)
+	close(ended)
+	<-sampled
+	cut := false
+	select {
+	case <-o.Stop:
+		cut = true
+	default:
+	}
+	if cut {
+		<-played
+	} else {
+		select {
+		case <-played:
+		case <-time.After(longestStop + x.Length.D()):
+		}
+	}
+	f.stop()
+	if !cut {
+		book.Put(ledger.Record{Kind: ledger.Finished, At: w.Now()})
+	}
+	w.Close()
+	records, err := book.Close()
+	r := &report.Result{Name: x.Name, About: x.About, Seed: x.Seed, Rule: o.Rule, Figures: meter.Done(), Records: records, Peak: peak,
+		Length: x.Length.D().Seconds(), Warm: x.Warm.D().Seconds(), Opened: front.Opened.Load(), Fetches: w.Origin.Fetches.Load()}
+	if err != nil {
+		r.Void = append(r.Void, "the ledger's disk: "+err.Error())
+	}
+	if cut {
+		r.Void = append(r.Void, "interrupted")
+	}
+	for _, c := range w.Caches() {
+		r.Refused += c.Refused.Load()
+	}
+	events, errs := player.Events()
+	r.Events = events
+	for _, e := range errs {
+		r.Void = append(r.Void, "a fault could not be played: "+e.Error())
+	}
+	r.Crashes = f.faults()
+	if r.Figures.LateIn5 < lateShare {
+		r.Void = append(r.Void, fmt.Sprintf("the lab ran late: %.1f%% of the ops were sent within %v of their time, %.0f%% are wanted",
+			100*r.Figures.LateIn5, lateBound, 100*lateShare))
+	}
+	if r.Figures.Overload > 0 {
+		r.Void = append(r.Void, fmt.Sprintf("%d ops could not be sent: too many were out", r.Figures.Overload))
+	}
+	if r.Verdict, err = Judge(path, x, w.Zones()); err != nil {
+		return r, err
+	}
+	return r, r.Write(o.Dir)
+}
+
+// Judge reads a ledger and gives the verdict on the rules.
+func Judge(path string, x *experiment.File, zones map[uint32]int) (*ledger.Verdict, error) {
+	in, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer in.Close()
+	t := ledger.Terms{ServerZone: zones, Grace: x.Rules.Grace.D(), FallMultiple: x.Rules.FallMultiple, TipAfter: x.Rules.TipAfter.D(),
+		ColdFrom: x.Caches.ColdFrom, WarmUp: x.Caches.WarmUp.D(), MostPushes: x.Rules.MostPushes, TwoAtOnce: x.Rules.TwoAtOnce,
+		Slack: x.Rules.Slack.D()}
+	for _, c := range x.Category {
+		held := x.Rules.Held.D()
+		if held == 0 {
+			held = c.TTL.D() / 2
+		}
+		t.Categories = append(t.Categories, ledger.Category{TTL: c.TTL.D(), Window: c.Window.D(), Effect: c.Effect, Zone: c.Group == "zone",
+			Held: held})
+	}
+	j := ledger.NewJudge(t)
+	if err := ledger.Read(in, j.Take); err != nil {
+		return nil, err
+	}
+	return j.End(), nil
+}
+
+// fill lets caches hold what they would have been asked for lately, each key at two of them as chance has it. Which
+// ones a proxy would ask is not known here: a warm start is the run's first seconds.
+func fill(x *experiment.File, w *world.World) {
+	if !x.Caches.Full {
+		return
+	}
+	size := 0
+	for _, c := range x.Category {
+		size = max(size, c.Size)
+	}
+	room := int(x.Caches.MemoryMB * (1 << 20) / float64(size))
+	for _, c := range w.Caches() {
+		for rank := min(room, x.Keys.Count) - 1; rank >= 0; rank-- {
+			c.Fill(fmt.Sprintf("%016x", load.KeyOf(x, uint64(rank), 0)), size)
+		}
+	}
+}
+
+// sample takes figures each second.
+func sample(x *experiment.File, w *world.World, f *fleet, front *load.Front, m *measure.Meter, from time.Duration,
+	ended <-chan struct{}, say func(string, ...any)) (peak measure.Use) {
+	clock := time.NewTicker(time.Second)
+	defer clock.Stop()
+	fetches, opened, last := w.Origin.Fetches.Load(), front.Opened.Load(), f.use()
+	for {
+		select {
+		case <-ended:
+			return peak
+		case <-clock.C:
+		}
+		at := w.Now() - from - time.Second/2
+		cpu, memory, conns, waiting := 0.0, 0.0, 0, 0
+		now := f.use()
+		for i, u := range now {
+			if u.CPU >= last[i].CPU {
+				cpu += u.CPU - last[i].CPU
+			}
+			memory += u.MemoryMB
+			peak.MemoryMB = max(peak.MemoryMB, u.MemoryMB)
+			peak.Descriptors = max(peak.Descriptors, u.Descriptors)
+		}
+		last = now
+		peak.CPU += cpu
+		for _, c := range w.Caches() {
+			conns += c.Connections()
+			waiting += c.Waiting()
+		}
+		nf, no := w.Origin.Fetches.Load(), front.Opened.Load()
+		m.Fill(at, func(s *measure.Second) {
+			s.Fetches, s.Opened, s.Conns, s.Waiting, s.CPU, s.MemoryMB = nf-fetches, no-opened, conns, waiting, cpu, memory
+		})
+		if say != nil {
+			ops, service := m.Now(at)
+			say("%3.0f s  %5d ops  %5.1f%% in time  %4d fetches  %4d connections  %.2f cores", at.Seconds()+0.5, ops, 100*service,
+				nf-fetches, conns, cpu)
+		}
+		fetches, opened = nf, no
+	}
+}
--- /dev/null
+++ b/lab/run/run_test.go
@@ -0,0 +1,84 @@
+package run
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"minttray/lab/experiment"
+	"minttray/lab/ledger"
+)
+
+// build puts a program of this repository where a test can start it.
+func build(t *testing.T, what string) string {
+	path := filepath.Join(t.TempDir(), what)
+	if out, err := exec.Command("go", "build", "-o", path, "minttray/cmd/"+what).CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return path
+}
+
+// Real daemons, a cache that dies, one that drains, a proxy that is killed: the verdict hangs on counts alone.
+func TestSmoke(t *testing.T) {
+	x, err := experiment.Read("../../experiments/smoke.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	r, err := Play(x, Options{Dir: dir, Command: []string{build(t, "minttray")}, Rule: "minttray", Stop: make(chan struct{})})
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := r.Verdict
+	if !v.Kept() || !v.Whole || len(r.Crashes) > 0 || v.Answers["acked"] < 100 || v.Pushes < v.Answers["acked"] {
+		t.Errorf("%s", r.Summary())
+	}
+	if sum := v.Answers["acked"] + v.Answers["nacked"] + v.Answers["dead-lettered"] + v.Answers["crossed"] + v.Left + v.Killed; sum != v.Ops {
+		t.Errorf("%d tries, %d ends: %+v", v.Ops, sum, v)
+	}
+	for _, name := range []string{"result.json", "summary.txt", "report.html", "service.svg", "ledger.bin"} {
+		if info, err := os.Stat(filepath.Join(dir, name)); err != nil || info.Size() == 0 {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	told := 0
+	in, _ := os.Open(filepath.Join(dir, "ledger.bin"))
+	defer in.Close()
+	ledger.Read(in, func(r ledger.Record) {
+		if r.Kind == ledger.Told {
+			told++
+		}
+	})
+	if told < x.Proxies.Count {
+		t.Errorf("proxies were told of a drain or a death %d times", told)
+	}
+}
+
+// Danger: a daemon that doesn't start must be named with what it said, and must leave nothing running.
+func TestADaemonThatDoesNotStartIsNamed(t *testing.T) {
+	x, err := experiment.Read("../../experiments/smoke.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = Play(x, Options{Dir: t.TempDir(), Command: []string{"sh", "-c", "echo no such luck >&2; exit 3"}, Stop: make(chan struct{})})
+	if err == nil || !strings.Contains(err.Error(), "no such luck") || !strings.Contains(err.Error(), "proxy ") {
+		t.Errorf("%v", err)
+	}
+}
+
+// A run that is interrupted ends soon, ends its processes, and is void, not lost.
+func TestInterrupted(t *testing.T) {
+	x, err := experiment.Read("../../experiments/smoke.toml", "length=10m", "proxies.count=1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop := make(chan struct{})
+	time.AfterFunc(time.Second, func() { close(stop) })
+	r, err := Play(x, Options{Dir: t.TempDir(), Command: []string{build(t, "mintbase")}, Env: []string{"MINTBASE_RULE=rendezvous"}, Stop: stop})
+	if err != nil || r.Status() != 3 || r.Verdict.Whole || !r.Verdict.Kept() || r.Verdict.Ops == 0 {
+		t.Errorf("%v, %+v", err, r)
+	}
+}
--- /dev/null
+++ b/lab/run/stand.go
@@ -0,0 +1,49 @@
+package run
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"minttray/lab/experiment"
+	"minttray/lab/ledger"
+	"minttray/lab/load"
+	"minttray/lab/world"
+)
+
+// Stand puts a world up without load or proxies, writes the proxies' configurations, and waits for the word to stop:
+// to try a proxy by hand.
+func Stand(x *experiment.File, dir string, say func(format string, args ...any), stop <-chan struct{}) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	book, err := ledger.Create(filepath.Join(dir, "ledger.bin"))
+	if err != nil {
+		return err
+	}
+	defer book.Close()
+	w, err := world.New(x, book)
+	if err != nil {
+		return err
+	}
+	defer w.Close()
+	fill(x, w)
+	for n := range x.Proxies.Count {
+		a, err := w.Reg.Agent(n, n%len(x.Zones.Names))
+		if err != nil {
+			return err
+		}
+		addr, err := world.Free(fmt.Sprintf("127.27.0.%d", n+1))
+		if err != nil {
+			return err
+		}
+		path, err := configure(dir, x, n, addr, a.Addr, a.List())
+		if err != nil {
+			return err
+		}
+		say("proxy %d: BALANCER_CONFIG=%s bin/minttray, listens on %s", n, path, addr)
+	}
+	say("%d caches and the origin are up; the most asked key is %016x; Ctrl-C ends them", x.Caches.Count, load.KeyOf(x, 0, 0))
+	<-stop
+	return nil
+}
--- /dev/null
+++ b/lab/world/world.go
@@ -0,0 +1,158 @@
+// Package world holds stand-ins, on loopback, for all that proxies meet: caches, the origin, and one discovery agent
+// for each proxy. They speak the platform's protocol over real sockets, and each tells the ledger what it was sent.
+package world
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"minttray/lab/experiment"
+	"minttray/lab/ledger"
+)
+
+// World is all stand-ins of one run.
+type World struct {
+	Exp    *experiment.File
+	Book   *ledger.Book
+	Origin *Origin
+	Reg    *Registry
+
+	start  time.Time
+	mu     sync.Mutex
+	caches []*Cache // by server number - 1; the origin is 0
+	missed sync.Map // op id -> *missing
+	repeat sync.Map // what deduplicated ops left behind
+	conns  atomic.Uint32
+}
+
+type missing struct {
+	mu     sync.Mutex
+	caches []*Cache
+}
+
+// New makes a world and opens its listeners; its clock starts here.
+func New(exp *experiment.File, book *ledger.Book) (*World, error) {
+	w := &World{Exp: exp, Book: book, start: time.Now()}
+	w.Reg = newRegistry(w)
+	o, err := newOrigin(w)
+	if err != nil {
+		return nil, err
+	}
+	w.Origin = o
+	for i := range exp.Caches.Count {
+		if _, err := w.Add(i%len(exp.Zones.Names), false); err != nil {
+			w.Close()
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+// Now is the run's one clock.
+func (w *World) Now() time.Duration { return time.Since(w.start) }
+
+// Start is when that clock began.
+func (w *World) Start() time.Time { return w.start }
+
+// Add puts one more cache up; cold: it starts now, else long ago.
+func (w *World) Add(zone int, cold bool) (*Cache, error) {
+	w.mu.Lock()
+	n := uint32(len(w.caches) + 1)
+	c := newCache(w, n, fmt.Sprintf("cache-%d", n), zone)
+	w.caches = append(w.caches, c)
+	w.mu.Unlock()
+	if err := c.up(cold); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// Replace puts a successor up at a cache's address, under a new id.
+func (w *World) Replace(old *Cache) (*Cache, error) {
+	w.mu.Lock()
+	n := uint32(len(w.caches) + 1)
+	c := newCache(w, n, fmt.Sprintf("cache-%d", n), old.Zone)
+	c.addrs = old.addrs
+	w.caches = append(w.caches, c)
+	w.mu.Unlock()
+	return c, c.up(true)
+}
+
+// Caches are all that ever were, in the order of their numbers.
+func (w *World) Caches() []*Cache {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]*Cache(nil), w.caches...)
+}
+
+// Zones gives each server's zone, for the ledger.
+func (w *World) Zones() map[uint32]int {
+	zones := map[uint32]int{0: 0}
+	for _, c := range w.Caches() {
+		zones[c.Number] = c.Zone
+	}
+	return zones
+}
+
+// Close ends all listeners and connections.
+func (w *World) Close() {
+	for _, c := range w.Caches() {
+		c.down(true)
+	}
+	w.Origin.close()
+	w.Reg.close()
+}
+
+// delay is the one-way span between two zones.
+func (w *World) delay(a, b int) time.Duration {
+	if a == b {
+		return 0
+	}
+	return w.Exp.Zones.Delay.D()
+}
+
+// draw is a figure from 0 to 1 that hangs on the op and the place alone, so that the same seed gives the same.
+func (w *World) draw(id uint64, place uint32, what string) float64 {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%d/%x/%d/%s", w.Exp.Seed, id, place, what)
+	x := h.Sum64()
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return float64((x^x>>31)>>11) / (1 << 53)
+}
+
+// work is how long an op takes a core: half of the mean for certain, the other half drawn.
+func (w *World) work(mean time.Duration, id uint64, place uint32) time.Duration {
+	return time.Duration(float64(mean) * (0.5 - 0.5*math.Log(1-w.draw(id, place, "work")*0.999)))
+}
+
+// Value is what a server answers for an op: made for it alone, so that another's is known.
+func Value(key, id string, size int) string {
+	v := id + " " + key + " "
+	for len(v) < size {
+		v += "................................"[:min(32, size-len(v))]
+	}
+	return v
+}
+
+// Number is an op's number, from its id.
+func Number(id string) uint64 {
+	n, err := strconv.ParseUint(id, 16, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// listen opens a listener on a loopback address of its own.
+func listen(addr string) (net.Listener, error) {
+	return net.Listen("tcp", addr)
+}
+
+func (w *World) conn() uint32 { return w.conns.Add(1) }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -104,7 +104,8 @@
 	lane    float64 // share of a limit that it may fill
 	beyond  float64 // benefit lost, being beyond its tenant's share
 	heat    float64 // its key's share of traffic
-	aim     Time    // the last moment at which an answer has its full benefit
+	aim     Time    // the last moment at which an answer has its full benefit, or may be waited for
+	due     Time    // past it no push is begun any more: its answer would have no benefit
 	tenant  *tenant
 	most, n int // pushes it may have, and has had
 	out     []push
@@ -206,6 +207,9 @@
 	return b
 }
 
+// Judged tells what was judged so far.
+func (b *Balancer) Judged() Counts { return b.Counts }
+
 // ListArrived takes the whole list, changes to it, or word that a call to the list failed.
 func (b *Balancer) ListArrived(kind ListKind, entries []Entry) {
 	if kind == ListFailed {
@@ -292,6 +296,9 @@
 	if cat.Tardy == 0 && cat.Effect == Redeliverable {
 		o.aim = min(now+cat.Target-spent-2*b.Tick, o.aim)
 	}
+	if o.due = o.aim; cat.Tardy == 0 {
+		o.due = min(o.aim, now+cat.Target)
+	}
 	o.most = min(2+int(cat.Benefit/b.benefit+0.5), b.MostPushes)
 	o.lane -= 0.2 * (1 - cat.Benefit/b.benefit)
 	if t.tokens >= 1 {
@@ -483,7 +490,7 @@
 		b.giveUp(o)
 		return
 	}
-	b.host.Timer(tokenOp+uint64(o.id), o.aim-b.host.Now()) // held until then at most
+	b.host.Timer(tokenOp+uint64(o.id), o.due-b.host.Now()) // held until then at most
 	at := len(b.queue)
 	for at > 0 && b.queue[at-1].lane-b.queue[at-1].beyond < o.lane-o.beyond {
 		at--
@@ -496,7 +503,7 @@
 	for len(b.queue) > 0 && b.origin != nil && b.room(b.origin, b.queue[0]) {
 		o := b.queue[0]
 		b.queue = b.queue[1:]
-		if now := b.host.Now(); b.allowed(o, b.origin, now) && b.origin.span.Chance(
+		if now := b.host.Now(); now < o.due && b.allowed(o, b.origin, now) && b.origin.span.Chance(
 			b.ticks(o.aim-now), b.ticks(b.target)) >= 2*leastChance {
 			b.push(o, b.origin) // with less time left, it would be asked in vain
 		} else {
@@ -607,7 +614,7 @@
 	case how == Miss && b.Aside && o.n < b.MostPushes:
 		b.toOrigin(o)
 	// Under strain a further push mostly meets another full queue, and costs a connection there.
-	case missed && how == Errored || now >= o.aim || float64(o.n) >= float64(o.most)*(1-b.strain) ||
+	case missed && how == Errored || now >= o.due || float64(o.n) >= float64(o.most)*(1-b.strain) ||
 		o.ran != nil && o.cat.Effect == AtMostOnce:
 		b.giveUp(o)
 	default:
@@ -645,7 +652,7 @@
 	}
 	load, ill = evidence.Unanswered(usual, span, target), evidence.Unanswered(fleet, span, target)
 	if !p.to.shared {
-		load *= 1 - 0.95*evidence.Lost(usual, target)
+		load *= 1 - 0.95*evidence.Lost(usual, p.to.good, p.to.bad, target)
 	}
 	if p.cut { // it was given up when it was as likely to be slow as to be lost
 		ill /= 2
@@ -794,7 +801,7 @@
 	case tokenWatch:
 		b.host.Watch(true)
 	default:
-		if o := b.ops[uint32(token-tokenOp)]; o != nil && !o.done && len(o.out) == 0 && b.host.Now() >= o.aim {
+		if o := b.ops[uint32(token-tokenOp)]; o != nil && !o.done && len(o.out) == 0 && b.host.Now() >= o.due {
 			b.giveUp(o)
 		}
 	}
