A cache that fails one category far more than all is passed over for that one

Change: answers and failures are also counted by category (decide/evidence Shares), by cache and for all; one that stands out in a category is passed over for it. What was counted fades, so it is tried again by itself.

--- a/decide/evidence/evidence_test.go
+++ b/decide/evidence/evidence_test.go
@@ -77,6 +77,29 @@
 	}
 }
 
+func TestShares(t *testing.T) {
+	var one, all Shares[string]
+	book := func(s *Shares[string], kind string, good, bad float64) {
+		s.Book(kind, good, bad)
+		all.Book(kind, good, bad)
+	}
+	book(&one, "a", 5, 20)
+	book(&one, "b", 20, 2)
+	all.Book("a", 75, 0)
+	for kind, want := range map[string]bool{"a": true, "b": false, "none": false} {
+		if one.StandOut(&all, kind) != want {
+			t.Errorf("%s: want %v", kind, want)
+		}
+	}
+	if all.Book("a", 0, 75); one.StandOut(&all, "a") {
+		t.Error("all fail alike, so none stands out")
+	}
+	one.Fade(0.1)
+	if all.Fade(0.01); one.StandOut(&all, "a") {
+		t.Error("old evidence counts for ever")
+	}
+}
+
 func TestBudget(t *testing.T) {
 	var b Budget
 	b.Earn(3, 2)
--- a/lab/ledger/judge.go
+++ b/lab/ledger/judge.go
@@ -243,10 +243,10 @@
 		j.find(Lost, e, "no final answer within %v", wait)
 	default:
 		first = answers[0]
-		j.v.Answers[answerNames[first.A]]++
 		switch {
 		case (first.A == Closed || first.A == Half || first.A == Crossed) && ended && first.At >= gone.At-j.terms.Slack:
 			j.v.Killed++ // also with an answer half written: its client can tell
+			first.A = killed
 		case first.A == Crossed && len(pushes) == 0: // its client asks once more
 		case first.A == Closed || first.A == Crossed || first.A == Half && len(pushes) == 0:
 			j.find(Lost, e, "the connection ended with the answer owed")
@@ -255,6 +255,9 @@
 		case first.At > end:
 			j.find(Lost, e, "answered %v after it was sent, %v later than its client waits", first.At-sent.At, first.At-end)
 		}
+		if first.A != killed {
+			j.v.Answers[name(answerNames, first.A)]++
+		}
 		if len(answers) > 1 {
 			j.find(Twice, e, "%d final answers", len(answers))
 		}
@@ -363,6 +366,8 @@
 	s.work = nil
 }
 
+const killed = 1 << 16 // in an answer's place: the lab ended its proxy
+
 var answerNames = []string{"acked", "nacked", "dead-lettered", "closed", "foreign", "half", "crossed"}
 var endNames = []string{"answered", "missed", "refused", "failed", "dropped", "silent"}
 var stateNames = []string{"active", "leaving", "out"}
--- a/lab/ledger/ledger_test.go
+++ b/lab/ledger/ledger_test.go
@@ -160,3 +160,17 @@
 		t.Error("a garbled ledger was read")
 	}
 }
+
+// Danger: a full disk that nobody notices makes a verdict on half a run.
+func TestAFullDiskIsTold(t *testing.T) {
+	book, err := Create("/dev/full")
+	if err != nil {
+		t.Skip("no /dev/full here")
+	}
+	for range 100_000 {
+		book.Put(Record{Kind: Sent})
+	}
+	if _, err := book.Close(); err == nil {
+		t.Error("all was written, it says")
+	}
+}
--- a/lab/run/run_test.go
+++ b/lab/run/run_test.go
@@ -6,7 +6,6 @@
 	"path/filepath"
 	"strings"
 	"testing"
-	"time"
 
 	"minttray/lab/experiment"
 	"minttray/lab/ledger"
@@ -76,8 +75,13 @@
 		t.Fatal(err)
 	}
 	stop := make(chan struct{})
-	time.AfterFunc(time.Second, func() { close(stop) })
-	r, err := Play(x, Options{Dir: t.TempDir(), Command: []string{build(t, "mintbase")}, Env: []string{"MINTBASE_RULE=rendezvous"}, Stop: stop})
+	seconds := 0
+	say := func(string, ...any) { // a line a second, once ops are sent
+		if seconds++; seconds == 2 {
+			close(stop)
+		}
+	}
+	r, err := Play(x, Options{Say: say, Dir: t.TempDir(), Command: []string{build(t, "mintbase")}, Env: []string{"MINTBASE_RULE=rendezvous"}, Stop: stop})
 	if err != nil || r.Status() != 3 || r.Verdict.Whole || !r.Verdict.Kept() || r.Verdict.Ops == 0 {
 		t.Errorf("%v, %+v", err, r)
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -86,14 +86,15 @@
 
 type cache struct {
 	Entry
-	listed, open, shared bool           // shared: the origin or its shadow
-	out                  int            // own pushes in flight
-	sent, done           [quarters]int  // pushes, and those acked, by quarter
-	good, bad            float64        // answers, and failures by what they prove, fading
-	limit                float64        // in flight, learned
-	cutAt, sentAt, near  Time           // the limit last fell; the last push; the least an answer takes
-	rest, restUntil      Time           // the last rest, 0 once it has answered; not ready before
-	span                 evidence.Spans // how long its answers take, in ticks
+	listed, open, shared bool                       // shared: the origin or its shadow
+	out                  int                        // own pushes in flight
+	sent, done           [quarters]int              // pushes, and those acked, by quarter
+	good, bad            float64                    // answers, and failures by what they prove, fading
+	limit                float64                    // in flight, learned
+	cutAt, sentAt, near  Time                       // limit last fell; last push; least that an answer takes
+	rest, restUntil      Time                       // the last rest, 0 once it has answered; not ready before
+	by                   evidence.Shares[*Category] // answers and failures
+	span                 evidence.Spans             // how long its answers take, in ticks
 }
 
 type op struct {
@@ -174,10 +175,10 @@
 	target, shortest Time    // target latency: the usual one among pushes that end; the shortest
 	rolled, failed   Time    // failed: the last push whose end showed a shortage
 	turn             int
-	strain           float64        // 0 to 1: how short the fleet is, from all its answers and failures
-	luck             float64        // below 1, drawn for each cold window
-	span             evidence.Spans // how long answers of all caches take, in ticks
-	waited, silent   float64        // pushes waited for in full, and those that had no answer, fading
+	strain           float64 // 0 to 1: how short the fleet is, from all its answers and failures
+	luck             float64 // below 1, drawn for each cold window
+	all              cache   // what all caches did, taken together
+	waited, silent   float64 // pushes waited for in full, and those that had no answer, fading
 }
 
 // New starts a proxy; a list of kind ListCached is expected next.
@@ -309,8 +310,8 @@
 	// Tries that come again beyond the budget, and ops that hardly any answer reaches in time, take only what
 	// others leave.
 	over, chance := again && !t.again.Again(), 1.0
-	if b.span.Enough() {
-		chance = b.span.By(b.ticks(o.aim - now))
+	if b.all.span.Enough() {
+		chance = b.all.span.By(b.ticks(o.aim - now))
 	}
 	if o.lane *= min(2*chance, 1); over {
 		o.lane /= 2
@@ -390,7 +391,7 @@
 // allowed tells whether the rules and the cache's state let this op go there now.
 func (b *Balancer) allowed(o *op, c *cache, now Time) bool {
 	if !c.listed || c.State != Ready || slices.Contains(o.tried, c) ||
-		c != b.origin && (now < c.restUntil || !b.coldRoom(c, now)) {
+		c != b.origin && (now < c.restUntil || c.by.StandOut(&b.all.by, o.cat) || !b.coldRoom(c, now)) {
 		return false
 	}
 	if o.ran == nil || o.cat.Effect == Redeliverable {
@@ -541,7 +542,7 @@
 func (b *Balancer) until(o *op, c *cache, now Time) Time {
 	if c != b.origin && !b.mayFetch(o) && o.cat.Effect == Redeliverable && o.n+2 <= o.most && b.strain < calm &&
 		b.rnd.next()%fullLength > 0 {
-		if span := evidence.Patience(&b.span, b.silent/max(b.waited, 1), b.ticks(o.aim-now)); span > 0 {
+		if span := evidence.Patience(&b.all.span, b.silent/max(b.waited, 1), b.ticks(o.aim-now)); span > 0 {
 			return now + max(Time(span*float64(b.Tick)), b.Tick)
 		}
 	}
@@ -568,15 +569,17 @@
 		b.shadow.out--
 	}
 	now := b.host.Now()
+	good := 0.0
 	load, ill := b.proof(o, p, how, missed, taken)
 	if how == Acked || how == Miss {
+		good = 1
 		c.good++
 		c.rest = 0
 		b.strain -= b.strain * strainDown
 		if p.full {
 			c.span.Add(b.ticks(taken))
 			if c != b.origin {
-				b.span.Add(b.ticks(taken))
+				b.all.span.Add(b.ticks(taken))
 			}
 		}
 	} else if c != b.origin && load > 0 {
@@ -584,6 +587,8 @@
 		b.failed = now
 	}
 	c.bad += ill
+	c.by.Book(o.cat, good, ill)
+	b.all.by.Book(o.cat, good, ill)
 	if p.full && c != b.origin && (how == Acked || how == Miss || how == TimedOut) {
 		b.waited, b.silent = b.waited+1, b.silent+ill
 	}
@@ -633,7 +638,7 @@
 // short by its own op only says "not by then"; a lost answer and a quick error say nothing of a queue; the
 // end of a connection nothing of load; a client that leaves, or a push that was called off, nothing at all.
 func (b *Balancer) proof(o *op, p push, how Outcome, missed bool, taken Time) (load, ill float64) {
-	usual, fleet := &p.to.span, &b.span
+	usual, fleet := &p.to.span, &b.all.span
 	if p.to.shared {
 		fleet = usual
 	} else if !usual.Enough() {
@@ -857,7 +862,9 @@
 		c.sent[0], c.done[0] = 0, 0
 		c.good, c.bad = c.good*0.8, c.bad*0.8
 		c.span.Fade(0.5)
+		c.by.Fade(0.8)
 	}
-	b.span.Fade(0.8)
+	b.all.span.Fade(0.8)
+	b.all.by.Fade(0.8)
 	b.waited, b.silent = b.waited*0.8, b.silent*0.8
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -56,6 +56,7 @@
 	log    []string
 	counts map[string]int
 	pushes map[uint32]int
+	cats   map[uint32]int // by op
 	names  map[string]string
 	auto   map[string]answer // by cache, or *
 	totals map[string]int
@@ -86,7 +87,10 @@
 	w.say("push", op, cache, until/10)
 	n := w.pushes[op]
 	w.pushes[op]++
-	a, ok := w.auto[fmt.Sprint(cache)]
+	a, ok := w.auto[fmt.Sprint(cache, "/", w.cats[op])]
+	if !ok {
+		a, ok = w.auto[fmt.Sprint(cache)]
+	}
 	if !ok {
 		a, ok = w.auto["*"]
 	}
@@ -174,6 +178,10 @@
 	if left == 0 {
 		left = w.s.Categories[int(o["cat"])].TTL
 	}
+	if w.cats == nil {
+		w.cats = map[uint32]int{}
+	}
+	w.cats[id] = int(o["cat"])
 	w.b.OpArrived(id, uint64(o["key"]), int(o["cat"]), int(o["tenant"]), o["write"] > 0, o["again"] > 0, left)
 }
 
