--- a/lab/run/run.go
+++ b/lab/run/run.go
@@ -149,8 +149,8 @@
 	return j.End(), nil
 }
 
-// fill lets caches hold what they would have been asked for lately, each key at two of them as chance has it. Which
-// ones a proxy would ask is not known here: a warm start is the run's first seconds.
+// fill lets every cache hold the most asked keys, as many as it has room for. Which of them a proxy would ask for a
+// key is not known here: the rest comes in the run's first seconds.
 func fill(x *experiment.File, w *world.World) {
 	if !x.Caches.Full {
 		return
--- a/lab/world/origin.go
+++ b/lab/world/origin.go
@@ -3,10 +3,8 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,14 +21,10 @@
 	addr    string
 	server  *http.Server
 	station *station
-	stopped atomic.Bool
-	mu      sync.Mutex
-	conns   map[net.Conn]uint32
-	lasting time.Duration
 }
 
 func newOrigin(w *World) (*Origin, error) {
-	o := &Origin{w: w, conns: map[net.Conn]uint32{}}
+	o := &Origin{w: w}
 	x := w.Exp.Origin
 	o.station = &station{cores: x.Cores, room: x.Queue}
 	o.station.speed = func(waiting int) float64 {
@@ -75,7 +69,7 @@
 	}
 	key, id := r.URL.Path[1:], r.Header.Get("X-Trace-Id")
 	op := Number(id)
-	body, err := io.ReadAll(http.MaxBytesReader(out, r.Body, 64<<10))
+	_, err := io.ReadAll(http.MaxBytesReader(out, r.Body, 64<<10))
 	if err != nil {
 		out.Header().Set("X-Never-Ran", "1")
 		http.Error(out, err.Error(), http.StatusServiceUnavailable)
@@ -119,7 +113,6 @@
 		o.store(key)
 		over(ledger.Answered)
 		reply(out, Value(key, id, 1))
-		_ = body
 		return
 	}
 	if m, ok := o.w.missed.LoadAndDelete(id); ok && r.Context().Err() == nil {
--- a/lab/world/registry.go
+++ b/lab/world/registry.go
@@ -239,7 +239,7 @@
 	}
 }
 
-// pick draws count (or a share) of some, from the run's seed and a fault's number.
+// Pick draws count (or a share) of some, from the run's seed and a fault's number.
 func Pick[T any](seed, n uint64, all []T, count int, share float64) []T {
 	all = append([]T(nil), all...)
 	rand.New(rand.NewPCG(seed, n)).Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
--- a/lab/world/station.go
+++ b/lab/world/station.go
@@ -7,12 +7,11 @@
 
 // job is one piece of work at a station.
 type job struct {
-	work     time.Duration
-	done     func()
-	timer    *time.Timer
-	begun    bool
-	over     bool
-	canceled bool
+	work  time.Duration
+	done  func()
+	timer *time.Timer
+	begun bool
+	over  bool
 }
 
 // station is cores with a waiting room before them. Its cores' speed may change; a job keeps the speed that it began
@@ -25,7 +24,6 @@
 	waiting []*job
 	speed   func(waiting int) float64 // 1: as stated; 0: stands still
 	still   time.Time                 // nothing begins before
-	most    int                       // waited at once
 }
 
 // offer takes a job in; false: there is no room, and it never ran.
@@ -36,7 +34,6 @@
 		return false
 	}
 	s.waiting = append(s.waiting, j)
-	s.most = max(s.most, len(s.waiting))
 	s.next()
 	return true
 }
@@ -72,7 +69,6 @@
 func (s *station) cancel(j *job, running bool) (gone bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	j.canceled = true
 	if j.over {
 		return false
 	}
