A stalled stand-in is told from a stalled proxy by its own timers

Need: the lab must not share fate with what it measures; its lateness showed a late client only. Change: work at stand-ins that ends over 5 ms after its time is counted, printed and written to result.json; past 5% of it the run is void.

--- a/lab/report/report.go
+++ b/lab/report/report.go
@@ -27,7 +27,8 @@
 	Verdict *ledger.Verdict `json:"verdict"`
 	Figures measure.Figures `json:"figures"`
 	Events  []faults.Event  `json:"events"`
-	Peak    measure.Use     `json:"peak"` // CPU: seconds of all proxies together
+	Peak    measure.Use     `json:"peak"`              // CPU: seconds of all proxies together
+	Stalled float64         `json:"stand_ins_stalled"` // share of their work that ended over 5 ms late
 	Records int64           `json:"records"`
 	Opened  int64           `json:"connections_opened"` // by clients
 	Refused int64           `json:"connections_refused"`
@@ -104,7 +105,8 @@
 	}
 	fmt.Fprintf(&b, "proxies: %.2f CPU seconds, %.0f MB and %d descriptors at most in one; client connections opened %d, refused by caches %d\n",
 		r.Peak.CPU, r.Peak.MemoryMB, r.Peak.Descriptors, r.Opened, r.Refused)
-	fmt.Fprintf(&b, "lab: %.2f%% sent within 5 ms of their time, half within %.2f ms, 99%% within %.2f ms\n", 100*f.LateIn5, f.LateP50, f.LateP99)
+	fmt.Fprintf(&b, "lab: %.2f%% sent within 5 ms of their time, half within %.2f ms, 99%% within %.2f ms; %.2f%% of the stand-ins' work over 5 ms late\n",
+		100*f.LateIn5, f.LateP50, f.LateP99, 100*r.Stalled)
 	if v := r.Verdict; v != nil {
 		b.WriteString(rules(v))
 	}
--- a/lab/run/run.go
+++ b/lab/run/run.go
@@ -115,6 +115,9 @@
 		r.Void = append(r.Void, fmt.Sprintf("the lab ran late: %.1f%% of the ops were sent within %v of their time, %.0f%% are wanted",
 			100*r.Figures.LateIn5, lateBound, 100*lateShare))
 	}
+	if r.Stalled = w.Stalled(); r.Stalled > 1-lateShare {
+		r.Void = append(r.Void, fmt.Sprintf("stand-ins stalled: %.1f%% of their work ended over %v late", 100*r.Stalled, lateBound))
+	}
 	if r.Figures.Overload > 0 {
 		r.Void = append(r.Void, fmt.Sprintf("%d ops could not be sent: too many were out", r.Figures.Overload))
 	}
--- a/lab/world/station.go
+++ b/lab/world/station.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -14,9 +15,13 @@
 	over  bool
 }
 
+const stallBound = 5 * time.Millisecond
+
 // station is cores with a waiting room before them. Its cores' speed may change; a job keeps the speed that it began
 // with.
 type station struct {
+	ended   atomic.Int64
+	stalled atomic.Int64 // of those: the stand-in itself was late, whatever the proxies did
 	mu      sync.Mutex
 	cores   int
 	room    int
@@ -48,7 +53,14 @@
 		if wait := time.Until(s.still); wait > 0 {
 			span += wait
 		}
-		j.timer = time.AfterFunc(span, func() { s.finish(j) })
+		due := time.Now().Add(span)
+		j.timer = time.AfterFunc(span, func() {
+			s.ended.Add(1)
+			if time.Since(due) > stallBound {
+				s.stalled.Add(1)
+			}
+			s.finish(j)
+		})
 	}
 }
 
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -91,6 +91,16 @@
 	return append([]*Cache(nil), w.caches...)
 }
 
+// Stalled is the share of all work at stand-ins that ended over 5 ms after its time: the lab's own stalls, which are
+// told from a proxy's by this.
+func (w *World) Stalled() float64 {
+	ended, stalled := w.Origin.station.ended.Load(), w.Origin.station.stalled.Load()
+	for _, c := range w.Caches() {
+		ended, stalled = ended+c.station.ended.Load(), stalled+c.station.stalled.Load()
+	}
+	return float64(stalled) / float64(max(ended, 1))
+}
+
 // Zones gives each server's zone, for the ledger.
 func (w *World) Zones() map[uint32]int {
 	zones := map[uint32]int{0: 0}
