A fleet asks for its list in turns, from the version it knows, and backs off as one

A log line for each call to discovery: 80 whole lists at the start, then 606 calls in 20 s and not one answered: 423 turned away within 30 ms, 183 timed out after 2 s. The service takes some 15 calls a second, works off what nobody waits for any more, and is asked 30 times a second; calls cut by the proxy itself after 1 s (a restarted proxy's whole list) wait on in its queue. At fault: policy.New (all ask at once), ListArrived (a second try within 0.6 to 3.3 s, for ever), discovery.ask (1 s of patience where the service's turn takes 2), Run (a whole list although the configuration holds one and its version). Nacks are counted by reason (gave_up_*), and MINTTRAY_COUNTERS=1s logs the counters at such a span, for sums over a fleet. A test plays 80 modules against an overbooked list service: 48 and 60 of them without a list before, none now.

--- /dev/null
+++ b/decide/circle/circle.go
@@ -0,0 +1,41 @@
+// Package circle is the placement arithmetic: where a key's hash falls, and which bucket that is.
+package circle
+
+import "math/bits"
+
+// Mix hashes a key with a salt.
+func Mix(key, salt uint64) uint64 {
+	h := key + (salt+1)*0x9e3779b97f4a7c15
+	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
+	h = (h ^ h>>27) * 0x94d049bb133111eb
+	return h ^ h>>31
+}
+
+// Circle is round-mapping (paper, section 2): m arcs, step s, 2^q groups, p the last short arc.
+type Circle struct{ s0, m, s, q, p int }
+
+// New makes a circle of m buckets, at least s0, which is at least 2.
+func New(s0, m int) Circle {
+	m = max(m, s0)
+	q := bits.Len(uint(m/s0)) - 1
+	s := m >> q
+	return Circle{s0: s0, m: m, s: s, q: q, p: (m-s<<q)*(s+1) - 1}
+}
+
+// Size is the number of buckets.
+func (c Circle) Size() int { return c.m }
+
+// Bucket is Algorithm 1 of the paper: the bucket of an arc, both from 0 to Size-1.
+func (c Circle) Bucket(j int) int {
+	if j < c.s0 {
+		return j
+	}
+	s := c.s + 1
+	if j > c.p {
+		j, s = j-(c.p+1)/(c.s+1), c.s
+	}
+	native := (s - 1) / c.s0
+	x, q := j%s%c.s0, c.q+native
+	i := (1+native)*(j/s) + j%s/c.s0
+	return ((c.s0+x)<<q + i) >> (bits.TrailingZeros(uint(i)) + 1)
+}
--- /dev/null
+++ b/decide/fleet/fleet.go
@@ -0,0 +1,28 @@
+// Package fleet is what one of many instances may do as its part of the whole: what is harmless from one and ruins
+// a shared service when all do it at once. Nothing here reads a clock or draws by chance: spans come in any one
+// unit, and what is drawn from them is the caller's.
+package fleet
+
+// Turn is when one instance of n makes its first call to a service that all share, from its number: the span is cut
+// into n turns, and the call falls somewhere in its own. All that start together so call evenly, never in a burst. A
+// number outside 0 to n-1 gets a turn all the same.
+func Turn[T ~int64](number, n int, span T) (from, to T) {
+	n = max(n, 1)
+	number = (number%n + n) % n
+	return span * T(number) / T(n), span * T(number+1) / T(n)
+}
+
+// Backoff spreads calls that failed. A service that is asked for more than it can do holds calls until they are too
+// old and then answers none: it comes back only if all ask less. The zero value is ready.
+type Backoff[T ~int64] struct{ failed int }
+
+// Failed books a failure, and gives the span within which, drawn evenly from 0, to call again: the first one, doubled
+// with each failure in a row, most at the longest.
+func (b *Backoff[T]) Failed(first, most T) T {
+	span := first << min(b.failed, 16)
+	b.failed++
+	return min(max(span, 1), max(most, 1))
+}
+
+// Held books a call that was answered.
+func (b *Backoff[T]) Held() { b.failed = 0 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,6 +28,8 @@
 	stillComing = 450 * time.Millisecond // clients that connect after SIGTERM
 	sweepEvery  = time.Second
 	longestEnd  = 4 * time.Second // more than the longest TTL
+
+	leastCounters = 100 * time.Millisecond // between two lines of counters, lest the log flood
 )
 
 // Module is what decides; NewModule makes one for an engine.
@@ -115,7 +117,10 @@
 				Object("discovery", watch).Msg("counters")
 			close(done)
 		})
-		<-done
+		select {
+		case <-done:
+		case <-ctx.Done():
+		}
 	}
 	reload := func() {
 		addr, waiting, err := c.Reload(get)
@@ -129,6 +134,19 @@
 		}
 		log.Info().Str("discovery", addr).Msg("configuration read anew")
 	}
+	if every, err := time.ParseDuration(get("MINTTRAY_COUNTERS")); err == nil && every >= leastCounters {
+		go func() {
+			for clock := time.NewTicker(every); ; {
+				select {
+				case <-clock.C:
+					counters()
+				case <-ctx.Done():
+					clock.Stop()
+					return
+				}
+			}
+		}()
+	}
 	for sig := range signals {
 		switch sig {
 		case syscall.SIGUSR1:
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -36,6 +36,9 @@
 		if text == "" {
 			panic(http.ErrAbortHandler)
 		}
+		if text == "full" {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		fmt.Fprint(w, text)
 	})}
 	go server.Serve(l)
@@ -240,6 +243,33 @@
 	}
 }
 
+// Danger: where all proxies ask one service, a whole list from each at their start is what buries it.
+func TestChangesSinceTheKnownListAreAskedForFirst(t *testing.T) {
+	queries := make(chan string, 10)
+	w, tells := agent(t, true, func(n int, query string) string {
+		if queries <- query; n == 1 {
+			return "full"
+		}
+		return list(8+n, false)
+	})
+	if members, err := w.Known([]byte(list(7, true, entry("x", "active")))); err != nil || len(members) != 1 {
+		t.Fatal(members, err)
+	}
+	w.Watch(true)
+	for i, want := range []string{"index=7&wait=5000", "index=8&wait=5000"} {
+		if query := <-queries; query != want {
+			t.Errorf("call %d asked %q, want %q", i, query, want)
+		}
+	}
+	if got := hear(t, tells); got.kind != policy.ListFailed {
+		t.Errorf("%+v", got)
+	}
+	w.Watch(true)
+	if got := hear(t, tells); got.kind != policy.ListDelta || len(got.members) != 0 {
+		t.Errorf("that the service answers again was not told: %+v", got)
+	}
+}
+
 func TestBadDocuments(t *testing.T) {
 	names := NewNames(nil, []string{"box"}, zerolog.Nop())
 	for _, text := range []string{"", "[]", "null", "{}", `{"instances":[]}`, `{"generation":-1}`, `{"generation":1,"instances":{}}`,
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -24,6 +24,7 @@
 const (
 	wait      = 5 * time.Second // for news; short, so that an agent that went silent is asked again soon
 	patience  = time.Second     // past the wait
+	inTurn    = 3 * time.Second // past the wait, where calls wait in turn at a service that all proxies share
 	backOff   = 50 * time.Millisecond
 	backOffTo = time.Second
 	longest   = 1 << 20 // a list
@@ -38,6 +39,7 @@
 	Tell  func(policy.ListKind, []engine.Member)
 	Log   zerolog.Logger
 
+	known                         *uint64 // version of the list that the proxy starts with
 	on                            chan bool
 	version, calls, faults, moves atomic.Uint64
 
@@ -85,7 +87,8 @@
 	if len(text) == 0 || string(text) == "null" {
 		return nil, nil
 	}
-	_, members, err := w.Names.decode(text)
+	doc, members, err := w.Names.decode(text)
+	w.known = doc.Generation
 	return members, err
 }
 
@@ -109,7 +112,12 @@
 		}
 		addr, call, done := w.begin(ctx)
 		if addr != asked {
-			asked, version, back = addr, nil, backOff
+			// Where all proxies ask one service, the whole list costs it a line for each cache: what has changed since
+			// the list that this one starts with is less, and comes all the same.
+			if version = nil; w.Ask && asked == "" {
+				version = w.known
+			}
+			asked, back = addr, backOff
 			transport.CloseIdleConnections()
 		}
 		w.calls.Add(1)
@@ -119,6 +127,9 @@
 			done()
 			w.version.Store(*next)
 			if version, back = next, backOff; faults > 0 {
+				if w.Ask { // the service is well: what decides when to ask hears so, also if there was no news
+					w.Tell(policy.ListDelta, nil)
+				}
 				w.Log.Info().Int("faults", faults).Msg("discovery answers again")
 				faults = 0
 			}
@@ -167,6 +178,9 @@
 	}()
 	u := url.URL{Scheme: "http", Host: addr, Path: "/catalog/members"}
 	limit := patience
+	if w.Ask { // a call given up before its turn is work in vain there, and its repetition more of it
+		limit = inTurn
+	}
 	if version != nil {
 		u.RawQuery = "index=" + strconv.FormatUint(*version, 10) + "&wait=" + strconv.Itoa(int(wait/time.Millisecond))
 		limit += wait
--- a/internal/engine/counters.go
+++ b/internal/engine/counters.go
@@ -33,6 +33,9 @@
 	}
 	l.Int("censored", c.Judged.Censored).Int("over_budget", c.Judged.OverBudget).
 		Int("hopeless", c.Judged.Hopeless).Int("cut_short", c.Judged.CutShort)
+	for why, n := range c.Judged.GaveUp {
+		l.Int("gave_up_"+policy.Why(why).String(), n)
+	}
 	l.Int("lists", c.Lists).Int("queue_longest", c.Longest).
 		Float64("queue_delay_ms", c.Delay.Seconds()*1000).Float64("stall_ms", c.Stall.Seconds()*1000)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,7 @@
 		Target  uint64  `json:"target-latency-us"`
 		TTL     uint64  `json:"ttl-us"`
 	} `json:"categories"`
+	Index  int `json:"index"`
 	Habits struct {
 		MarksRetry bool `json:"marks-retry"`
 	} `json:"client-habits"`
@@ -90,7 +91,7 @@
 		return all, fmt.Errorf("settings: categories is empty")
 	}
 	*s = policy.Settings{
-		BeyondBenefit: c.Beyond, Proxies: max(c.Balancers, 1),
+		BeyondBenefit: c.Beyond, Proxies: max(c.Balancers, 1), Index: c.Index,
 		AskList: c.Discovery == "ask", AskEvery: down(c.Contract.AskEvery),
 		Aside: c.FamilyInfo.Mode == "aside", OriginKind: -1,
 		ColdFrom: c.Contract.ColdFrom, WarmUp: down(c.Contract.WarmUp + 99),
--- /dev/null
+++ b/policy/fleet_test.go
@@ -0,0 +1,130 @@
+package policy
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// fleetClock runs many modules on one clock.
+type fleetClock struct {
+	now Time
+	due []event
+}
+
+func (c *fleetClock) after(span Time, do func()) {
+	at := c.now + span
+	i, _ := slices.BinarySearchFunc(c.due, at, func(e event, at Time) int {
+		return cmp.Or(cmp.Compare(e.at, at), -1) // what is due at one moment keeps its order
+	})
+	c.due = slices.Insert(c.due, i, event{at, do})
+}
+
+func (c *fleetClock) run(to Time) {
+	for len(c.due) > 0 && c.due[0].at <= to {
+		e := c.due[0]
+		c.due = c.due[1:]
+		c.now = e.at
+		e.do()
+	}
+	c.now = to
+}
+
+// register is a list service that is overbooked: it takes calls in turn, so many a second, goes on with those that
+// nobody waits for any more, and turns calls away only when its queue is far longer than a caller waits.
+type register struct {
+	clock                       *fleetClock
+	each, patience, longest     Time
+	free                        Time // when the last call in its queue is done
+	calls, failed, held, second int
+	most                        int // calls in one second
+	in                          Time
+}
+
+func (r *register) call(done func(ok bool)) {
+	r.calls++
+	if r.clock.now >= r.in+10000 {
+		r.in, r.second = r.clock.now, 0
+	}
+	r.second++
+	r.most = max(r.most, r.second)
+	r.free = max(r.free, r.clock.now)
+	wait := r.free + r.each - r.clock.now
+	if wait > r.longest {
+		r.failed++
+		r.clock.after(200, func() { done(false) })
+		return
+	}
+	r.free += r.each
+	if wait > r.patience {
+		r.failed++
+		r.clock.after(r.patience, func() { done(false) })
+		return
+	}
+	r.held++
+	r.clock.after(wait, func() { done(true) })
+}
+
+// member is one proxy's host; it only asks for the list.
+type member struct {
+	*world
+	clock    *fleetClock
+	register *register
+	held     Time // since when it has a watch; 0: not yet
+}
+
+func (m *member) Now() Time { return m.clock.now }
+func (m *member) Timer(token uint64, after Time) {
+	m.clock.after(after, func() { m.b.TimerDue(token) })
+}
+func (m *member) Watch(bool) {
+	m.register.call(func(ok bool) {
+		if !ok {
+			m.b.ListArrived(ListFailed, nil)
+			return
+		}
+		m.held = m.clock.now
+		m.b.ListArrived(ListDelta, nil)
+	})
+}
+
+// Danger: all proxies start, or are killed and start again, at one moment, and a list service that holds more calls
+// than it answers in time answers none of them ever again, as each is made anew when it fails.
+func TestAFleetThatStartsAtOnceGetsItsList(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		proxies         int
+		each            Time // that a call takes the service
+		within          Time // all hold a watch by then
+		failed, aSecond int
+	}{
+		{"a large fleet, a service that takes it in five seconds", 80, 625, 60000, 0, 20},
+		{"a large fleet, one that needs eight", 80, 1000, 400000, 250, 25},
+		{"a small fleet", 2, 10000, 60000, 0, 2},
+		{"one proxy", 1, 10000, 60000, 0, 1},
+	} {
+		clock := &fleetClock{}
+		r := &register{clock: clock, each: c.each, patience: 20000, longest: 60000}
+		var fleet []*member
+		seeds := rand.New(rand.NewPCG(1, 2))
+		for i := range c.proxies {
+			m := &member{world: &world{t: t, counts: map[string]int{}}, clock: clock, register: r}
+			m.b = New(Settings{Categories: []Category{{Target: 2700, TTL: 5400, Benefit: 5}}, Proxies: c.proxies, Index: i,
+				AskList: true, AskEvery: 100000, Aside: true, OriginKind: 1, Tick: 10, TipAfter: 30000, MostPushes: 5},
+				seeds.Uint64(), m)
+			m.b.ListArrived(ListCached, nil)
+			fleet = append(fleet, m)
+		}
+		clock.run(c.within)
+		waiting := 0
+		for _, m := range fleet {
+			if m.held == 0 {
+				waiting++
+			}
+		}
+		if waiting > 0 || r.failed > c.failed || r.most > c.aSecond {
+			t.Errorf("%s: %d without a list; %d calls, %d failed, %d in one second", c.name, waiting, r.calls, r.failed, r.most)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -18,7 +18,9 @@
 	"math/bits"
 	"slices"
 
+	"minttray/decide/circle"
 	"minttray/decide/evidence"
+	"minttray/decide/fleet"
 )
 
 const (
@@ -52,38 +54,6 @@
 // between draws a span from lo to hi.
 func (p *pcg) between(lo, hi Time) Time { return lo + Time(uint64(p.next())*uint64(max(hi-lo, 0))>>32) }
 
-func mix(key, salt uint64) uint64 {
-	h := key + (salt+1)*0x9e3779b97f4a7c15
-	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
-	h = (h ^ h>>27) * 0x94d049bb133111eb
-	return h ^ h>>31
-}
-
-// circle is round-mapping (paper, section 2): m arcs, step s, 2^q groups, p the last short arc.
-type circle struct{ s0, m, s, q, p int }
-
-func newCircle(s0, m int) circle {
-	m = max(m, s0)
-	q := bits.Len(uint(m/s0)) - 1
-	s := m >> q
-	return circle{s0: s0, m: m, s: s, q: q, p: (m-s<<q)*(s+1) - 1}
-}
-
-// bucket is Algorithm 1 of the paper.
-func (c circle) bucket(j int) int {
-	if j < c.s0 {
-		return j
-	}
-	s := c.s + 1
-	if j > c.p {
-		j, s = j-(c.p+1)/(c.s+1), c.s
-	}
-	native := (s - 1) / c.s0
-	x, q := j%s%c.s0, c.q+native
-	i := (1+native)*(j/s) + j%s/c.s0
-	return ((c.s0+x)<<q + i) >> (bits.TrailingZeros(uint(i)) + 1)
-}
-
 type cache struct {
 	Entry
 	listed, open, shared bool                       // shared: the origin or its shadow
@@ -157,7 +127,7 @@
 	caches           map[uint32]*cache
 	ranks            []*cache // listed, by start time, then id
 	seats            []*cache // by bucket; nil: free
-	circle           circle
+	circle           circle.Circle
 	origin, shadow   *cache             // shadow: the origin, as pushes that may fetch show it
 	kept             [2]map[uint64]bool // keys answered lately, so likely kept
 	news             []byte             // of such keys, for the peers
@@ -175,10 +145,11 @@
 	target, shortest Time    // target latency: the usual one among pushes that end; the shortest
 	rolled, failed   Time    // failed: the last push whose end showed a shortage
 	turn             int
-	strain           float64 // 0 to 1: how short the fleet is, from all its answers and failures
-	luck             float64 // below 1, drawn for each cold window
-	all              cache   // what all caches did, taken together
-	waited, silent   float64 // pushes waited for in full, and those that had no answer, fading
+	asking           fleet.Backoff[Time] // for the list
+	strain           float64             // 0 to 1: how short the fleet is, from all its answers and failures
+	luck             float64             // below 1, drawn for each cold window
+	all              cache               // what all caches did, taken together
+	waited, silent   float64             // pushes waited for in full, and those that had no answer, fading
 }
 
 // New starts a proxy; a list of kind ListCached is expected next.
@@ -203,7 +174,7 @@
 	b.rolled, b.last, b.row = h.Now(), h.Now(), 1
 	h.Timer(tokenTick, 4*s.Tick)
 	if s.AskList {
-		h.Watch(true)
+		h.Timer(tokenWatch, b.rnd.between(fleet.Turn(s.Index, s.Proxies, s.AskEvery/2)))
 	}
 	return b
 }
@@ -214,10 +185,10 @@
 // ListArrived takes the whole list, changes to it, or word that a call to the list failed.
 func (b *Balancer) ListArrived(kind ListKind, entries []Entry) {
 	if kind == ListFailed {
-		// Asking again at once from every proxy would bury the list service.
-		b.host.Timer(tokenWatch, b.rnd.between(b.AskEvery/16, b.AskEvery/3))
+		b.host.Timer(tokenWatch, b.rnd.between(0, b.asking.Failed(b.AskEvery/2, 2*b.AskEvery)))
 		return
 	}
+	b.asking.Held()
 	if kind != ListDelta {
 		for _, c := range b.caches {
 			c.listed = false
@@ -268,12 +239,12 @@
 	for m < 2*len(b.ranks) {
 		m *= 2
 	}
-	b.circle, b.seats = newCircle(slack, m), make([]*cache, m)
+	b.circle, b.seats = circle.New(slack, m), make([]*cache, m)
 	b.heaviest = 0
 	for _, c := range b.ranks {
 		b.heaviest = max(b.heaviest, c.Weight)
 		for salt := uint64(0); ; salt++ {
-			if at := mix(uint64(c.ID), salt) % uint64(m); b.seats[at] == nil {
+			if at := circle.Mix(uint64(c.ID), salt) % uint64(m); b.seats[at] == nil {
 				b.seats[at] = c
 				break
 			}
@@ -323,9 +294,9 @@
 	o.heat = b.heat(o.key)
 	if o.aim <= now || chance < leastChance {
 		b.Counts.Hopeless++
-		b.giveUp(o)
+		b.giveUp(o, NoChance)
 	} else if over && b.strain > calm {
-		b.giveUp(o)
+		b.giveUp(o, PastBudget)
 	} else if b.Aside && write {
 		b.toOrigin(o)
 	} else {
@@ -408,11 +379,11 @@
 // choices are the caches that a key maps to in turn; a missing rank is rehashed. All salts are one sequence:
 // the next choice is where the key lives without the first, so that it moves once when a cache comes or goes.
 func (b *Balancer) choices(key uint64, n int) (choices []*cache) {
-	for salt := uint64(0); len(choices) < min(n, len(b.ranks)) && salt < uint64(8*b.circle.m); salt++ {
-		arc, _ := bits.Mul64(mix(key, salt), uint64(b.circle.m))
-		c := b.seats[b.circle.bucket(int(arc))]
+	for salt := uint64(0); len(choices) < min(n, len(b.ranks)) && salt < uint64(8*b.circle.Size()); salt++ {
+		arc, _ := bits.Mul64(circle.Mix(key, salt), uint64(b.circle.Size()))
+		c := b.seats[b.circle.Bucket(int(arc))]
 		// A small cache is passed over in proportion, by the key's hash, alike at every proxy.
-		if c != nil && !slices.Contains(choices, c) && float64(mix(key, ^salt)>>32) < c.Weight/b.heaviest*(1<<32) {
+		if c != nil && !slices.Contains(choices, c) && float64(circle.Mix(key, ^salt)>>32) < c.Weight/b.heaviest*(1<<32) {
 			choices = append(choices, c)
 		}
 	}
@@ -458,8 +429,10 @@
 	switch {
 	case c == nil && b.Aside && o.n == 0 && !o.write:
 		b.toOrigin(o)
-	case c == nil || !b.room(c, o), b.mayFetch(o) && !b.room(b.shadow, o):
-		b.giveUp(o)
+	case c == nil:
+		b.giveUp(o, NoCache)
+	case !b.room(c, o), b.mayFetch(o) && !b.room(b.shadow, o):
+		b.giveUp(o, NoRoom)
 	default:
 		b.push(o, c)
 	}
@@ -482,13 +455,13 @@
 
 func (b *Balancer) toOrigin(o *op) {
 	if b.origin == nil {
-		b.giveUp(o)
+		b.giveUp(o, NoCache)
 		return
 	}
 	span := float64(b.usually(b.origin))
 	wait := span * float64(len(b.queue)) / b.origin.limit / (1 - 0.75*o.beyond)
 	if b.host.Now()+Time(wait+span) > o.aim && len(b.queue) > 0 {
-		b.giveUp(o)
+		b.giveUp(o, OriginShort)
 		return
 	}
 	b.host.Timer(tokenOp+uint64(o.id), o.due-b.host.Now()) // held until then at most
@@ -508,7 +481,7 @@
 			b.ticks(o.aim-now), b.ticks(b.target)) >= 2*leastChance {
 			b.push(o, b.origin) // with less time left, it would be asked in vain
 		} else {
-			b.giveUp(o)
+			b.giveUp(o, TooLate)
 		}
 	}
 }
@@ -621,7 +594,7 @@
 	// Under strain a further push mostly meets another full queue, and costs a connection there.
 	case missed && how == Errored || now >= o.due || float64(o.n) >= float64(o.most)*(1-b.strain) ||
 		o.ran != nil && o.cat.Effect == AtMostOnce:
-		b.giveUp(o)
+		b.giveUp(o, NoMorePushes)
 	default:
 		if c == b.origin {
 			b.toOrigin(o)
@@ -770,7 +743,8 @@
 }
 
 // giveUp answers at once: a nack where a retry is surely safe, else a dead letter.
-func (b *Balancer) giveUp(o *op) {
+func (b *Balancer) giveUp(o *op, why Why) {
+	b.Counts.GaveUp[why]++
 	safe := o.cat.Effect == Redeliverable || o.ran == nil && len(o.out) == 0 ||
 		o.cat.Effect == Deduplicated && o.cat.Group == GroupAll
 	if !safe {
@@ -807,7 +781,7 @@
 		b.host.Watch(true)
 	default:
 		if o := b.ops[uint32(token-tokenOp)]; o != nil && !o.done && len(o.out) == 0 && b.host.Now() >= o.due {
-			b.giveUp(o)
+			b.giveUp(o, TooLate)
 		}
 	}
 }
--- a/policy/types.go
+++ b/policy/types.go
@@ -80,6 +80,7 @@
 	Quotas         []float64 // ops a second inside each tenant's share, over all proxies
 	BeyondBenefit  float64   // share of its benefit that an op beyond its tenant's share keeps
 	Proxies        int
+	Index          int // this proxy's number, from 0
 	AskList        bool
 	AskEvery       Time
 	Aside          bool
@@ -98,12 +99,32 @@
 	HandshakePrice float64 // of one new connection an op
 }
 
+// Why is the reason for which an op was given up.
+type Why uint8
+
+const (
+	NoChance     Why = iota // hardly any answer comes within its wait
+	PastBudget              // a try that came again, past its tenant's budget under strain
+	NoCache                 // none is listed, allowed and ready
+	NoRoom                  // the learned limit of its cache is full
+	OriginShort             // the queue for the origin would take too long
+	TooLate                 // its time was up before a push could be made
+	NoMorePushes            // its pushes are used up, or another would not be safe
+	reasons
+)
+
+var whyNames = [reasons]string{"no_chance", "past_budget", "no_cache", "no_room", "origin_short", "too_late",
+	"no_more_pushes"}
+
+func (w Why) String() string { return whyNames[w] }
+
 // Counts is what the module has judged since its start.
 type Counts struct {
 	Censored   int // time-outs that prove little: most answers take longer, or this one got lost
 	OverBudget int // tries that came again past their tenant's budget
 	Hopeless   int // ops nacked at once, as hardly any answer comes within their wait
 	CutShort   int // pushes given up early, for another cache
+	GaveUp     [reasons]int
 }
 
 // Host is how the module acts. Calls take effect in the order made.
