A zone that answers nothing is passed over as a whole, and doubt uses up no candidate

Four failures in a row from one zone with no answer between show the zone; its caches are then passed over for four shortest targets, doubled up to four times. At fault: route and PushEnded knew caches only. Caches in doubt no longer use up the three candidates: of a lost zone three often lay in it.

--- a/decide/fleet/fleet.go
+++ b/decide/fleet/fleet.go
@@ -47,3 +47,23 @@
 
 // Stands tells whether the server is to be passed over now.
 func (d *Doubt[T]) Stands(now T) bool { return now < d.until }
+
+// Silence is what failures in a row say of a group of servers that stand or fall together, as those of one zone do: where
+// each server alone is asked too rarely to be judged soon, the group as a whole is not. The zero value has heard all.
+type Silence[T ~int64] struct {
+	Doubt[T]
+	row int
+}
+
+const inARow = 4 // failures, with no answer from any server of the group between them, that are not chance
+
+// Silent books a push that the group left unanswered. The doubt that follows lasts for the span at first, and up to four
+// times as long; then one more push is enough to renew it.
+func (s *Silence[T]) Silent(now, span T) {
+	if s.row++; s.row >= inARow {
+		s.Begin(now, span)
+	}
+}
+
+// Heard books any answer, also one that turns a push away.
+func (s *Silence[T]) Heard() { *s = Silence[T]{} }
--- /dev/null
+++ b/decide/heat/heat.go
@@ -0,0 +1,42 @@
+// Package heat counts which keys are asked for most, in a few counters whatever the number of keys.
+package heat
+
+const (
+	counters = 128
+	lately   = 8 * counters // asked; then all counts for half
+	least    = counters / 8 // asked, before which a share means nothing
+)
+
+// Keys counts what one proxy is asked for. The zero value has been asked nothing.
+type Keys struct {
+	count map[uint64]float64
+	asked float64
+}
+
+// Asked books a key, and gives its share of what was asked lately, 0 to 1: one time is taken for chance, or, where an
+// extra copy of the key costs little, for the sign of more.
+func (k *Keys) Asked(key uint64, cheap bool) float64 {
+	if k.count == nil {
+		k.count = map[uint64]float64{}
+	}
+	if k.asked++; k.asked > lately {
+		k.asked /= 2
+		for other := range k.count {
+			k.count[other] /= 2
+		}
+	}
+	if _, ok := k.count[key]; ok || len(k.count) < counters {
+		k.count[key]++
+		doubt := -1.0
+		if cheap {
+			doubt = 1
+		}
+		return max(k.count[key]+doubt, 0) / max(k.asked, least)
+	}
+	for other := range k.count { // all lose alike, so the map's order does not matter
+		if k.count[other]--; k.count[other] <= 0 {
+			delete(k.count, other)
+		}
+	}
+	return 0
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -21,17 +21,17 @@
 	"minttray/decide/circle"
 	"minttray/decide/evidence"
 	"minttray/decide/fleet"
+	"minttray/decide/heat"
 )
 
 const (
-	slack                = 4   // s0 of the design
-	spareSeats           = 256 // seats to s0, at the least: m then stands still while a fleet grows
-	candidates           = 3   // caches that a key may go to on the ordinary path
-	doubtful             = 2   // pushes to a cache for which one that failed there, or is slow, is passed over
-	quarters             = 5   // four quarters of the cold window, and the one begun
-	coldMargin           = 0.8 // of the cold budget, left for chance and for works of unlike size
-	firstLimit           = 12  // in flight to one cache from all proxies, before anything is learned
-	hotKeys              = 128
+	slack                = 4                   // s0 of the design
+	spareSeats           = 256                 // seats to s0, at the least: m then stands still while a fleet grows
+	candidates           = 3                   // caches that a key may go to on the ordinary path
+	doubts               = 2                   // pushes to a cache for which one that failed there, or is slow, is passed over
+	quarters             = 5                   // four quarters of the cold window, and the one begun
+	coldMargin           = 0.8                 // of the cold budget, left for chance and for works of unlike size
+	firstLimit           = 12                  // in flight to one cache from all proxies, before anything is learned
 	leastTokens          = 4                   // a share split among many proxies must still fill to whole ops
 	mostNews             = 32 * 8              // bytes in one message
 	strainUp, strainDown = 1.0 / 16, 1.0 / 128 // what a failure adds to strain, what an answer takes off it
@@ -118,28 +118,28 @@
 	queue            []*op // for the origin
 	tenants          []tenant
 	tries            []evidence.Wait[Time] // by category
-	hot              map[uint64]float64    // by key: asked lately
-	asked            float64
-	row              float64 // halved by each failure in a row at the origin
-	gap              float64 // the usual span between two pushes
-	last             Time    // push
-	benefit          float64 // the highest
-	heaviest, first  float64 // weight; limit before anything is learned
-	target, shortest Time    // target latency: the usual one among pushes that end; the shortest
-	rolled, failed   Time    // failed: the last push whose end showed a shortage
+	hot              heat.Keys             // asked lately
+	row              float64               // halved by each failure in a row at the origin
+	gap              float64               // the usual span between two pushes
+	last             Time                  // push
+	benefit          float64               // the highest
+	heaviest, first  float64               // weight; limit before anything is learned
+	target, shortest Time                  // target latency: the usual one among pushes that end; the shortest
+	rolled, failed   Time                  // failed: the last push whose end showed a shortage
 	turn             int
 	asking           fleet.Backoff[Time] // for the list
 	strain           float64             // 0 to 1: how short the fleet is, from all its answers and failures
 	luck             float64             // below 1, drawn for each cold window
 	all              cache               // what all caches did, taken together
 	pace             float64             // the usual one of caches, by their reports
-	waited, silent   float64             // pushes waited for in full, and those that had no answer, fading
+	zones            map[int]*fleet.Silence[Time]
+	waited, silent   float64 // pushes waited for in full, and those that had no answer, fading
 }
 
 // New starts a proxy; a list of kind ListCached is expected next.
 func New(s Settings, seed uint64, h Host) *Balancer {
 	b := &Balancer{Settings: s, host: h, rnd: pcg{seed}, caches: map[uint32]*cache{}, ops: map[uint32]*op{},
-		hot: map[uint64]float64{}, tries: make([]evidence.Wait[Time], len(s.Categories)*(len(s.Quotas)+1)),
+		tries: make([]evidence.Wait[Time], len(s.Categories)*(len(s.Quotas)+1)), zones: map[int]*fleet.Silence[Time]{},
 		shortest: s.Categories[0].Target, first: max(firstLimit/float64(s.Proxies), 1)}
 	for _, c := range s.Categories {
 		b.benefit = max(b.benefit, c.Benefit)
@@ -189,6 +189,9 @@
 			c.doubt.End()
 		}
 		e.Start = max(e.Start, c.Start)
+		if b.zones[e.Zone] == nil {
+			b.zones[e.Zone] = &fleet.Silence[Time]{}
+		}
 		if c.Entry, c.listed = e, e.State != Gone; !c.listed {
 			b.host.Close(e.ID)
 		}
@@ -276,7 +279,8 @@
 	if key == 0 {
 		o.key = uint64(b.rnd.next())<<32 | uint64(b.rnd.next())
 	}
-	o.heat = b.heat(o.key)
+	// What an extra copy costs is there while the origin has room, so in doubt a key is hot.
+	o.heat = b.hot.Asked(o.key, b.origin != nil && b.origin.limit >= 0.5)
 	if o.aim <= now || chance < leastChance {
 		b.Counts.Hopeless++
 		b.giveUp(o, NoChance)
@@ -289,30 +293,6 @@
 	}
 }
 
-// heat is a key's share of this proxy's late traffic, from a few counters, halved now and then.
-func (b *Balancer) heat(key uint64) float64 {
-	if b.asked++; b.asked > 8*hotKeys {
-		b.asked /= 2
-		for k := range b.hot {
-			b.hot[k] /= 2
-		}
-	}
-	if _, ok := b.hot[key]; ok || len(b.hot) < hotKeys {
-		b.hot[key]++
-		doubt := -1.0 // once is chance
-		if b.origin != nil && b.origin.limit >= 0.5 {
-			doubt = 1 // what an extra copy costs is there, so in doubt a key is hot
-		}
-		return max(b.hot[key]+doubt, 0) / max(b.asked, hotKeys/8)
-	}
-	for k := range b.hot { // all lose alike, so the map's order does not matter
-		if b.hot[k]--; b.hot[k] <= 0 {
-			delete(b.hot, k)
-		}
-	}
-	return 0
-}
-
 // share is the part of its capacity that a cache has surely reached.
 func (b *Balancer) share(c *cache, now Time) float64 {
 	if c.Start == 0 || now-c.Start >= b.WarmUp {
@@ -361,19 +341,24 @@
 		o.cat.Group == GroupCell && c.Cell == o.ran.to.Cell
 }
 
-// choices are the caches that a key maps to in turn; a missing rank is rehashed. All salts are one sequence:
-// the next choice is where the key lives without the first, so that it moves once when a cache comes or goes.
-func (b *Balancer) choices(key uint64, n int) (choices []*cache) {
-	for salt := uint64(0); len(choices) < min(n, len(b.ranks)) && salt < uint64(8*b.circle.Size()); salt++ {
-		arc, _ := bits.Mul64(circle.Mix(key, salt), uint64(b.circle.Size()))
-		c := b.seats[b.circle.Bucket(int(arc))]
-		// A small cache is passed over in proportion, by the key's hash, alike at every proxy.
-		if c != nil && !slices.Contains(choices, c) &&
-			float64(circle.Mix(key, ^salt)>>32) < c.Weight/b.heaviest*(1<<32) {
-			choices = append(choices, c)
+// choices gives the first n caches that a key maps to; a missing rank is rehashed. All salts are one sequence: the
+// next choice is where the key lives without the first, so that it moves once when a cache comes or goes.
+func (b *Balancer) choices(key uint64) (more func(n int) []*cache) {
+	var choices []*cache
+	salt := uint64(0)
+	more = func(n int) []*cache {
+		for ; len(choices) < min(n, len(b.ranks)) && salt < uint64(8*b.circle.Size()); salt++ {
+			arc, _ := bits.Mul64(circle.Mix(key, salt), uint64(b.circle.Size()))
+			c := b.seats[b.circle.Bucket(int(arc))]
+			// A small cache is passed over in proportion, by the key's hash, alike at every proxy.
+			if c != nil && !slices.Contains(choices, c) &&
+				float64(circle.Mix(key, ^salt)>>32) < c.Weight/b.heaviest*(1<<32) {
+				choices = append(choices, c)
+			}
 		}
+		return choices
 	}
-	return choices
+	return more
 }
 
 func (b *Balancer) route(o *op) *cache {
@@ -384,18 +369,25 @@
 	}
 	// A key that asks for more than a mean cache's fair share is spread over as many as it would fill.
 	spread := 1 + int(o.heat*float64(len(b.ranks)))
-	choices := b.choices(o.key, max(candidates, spread))
-	if n := min(spread, len(choices)); n > 1 {
+	more := b.choices(o.key)
+	choices := more(spread)
+	if n := len(choices); n > 1 {
 		first := int(b.rnd.next()) % n
 		choices[0], choices[first] = choices[first], choices[0]
 	}
 	// While the origin has room for a miss, a choice at its limit is passed over like one that is not ready.
 	spare := b.origin != nil && b.origin.limit >= 1 && float64(b.origin.out) <= b.origin.limit/2 &&
 		b.strain < calm+0.25 && o.beyond == 0
-	for _, c := range choices {
+	most := max(candidates, spread) // those in doubt are not counted: of a lost zone, three would often be
+	for i := 0; i < most; i++ {
+		if choices = more(i + 1); i >= len(choices) {
+			break
+		}
+		c := choices[i]
 		mean := float64(total) * c.Weight / weight // in proportion to its size
-		if b.allowed(o, c, now) && !c.doubt.Stands(now) && float64(c.out) <= max(2*mean, mean+2) &&
-			(!spare || b.room(c, o)) {
+		if b.doubtful(c, now) {
+			most = min(most+1, 3*candidates)
+		} else if b.allowed(o, c, now) && float64(c.out) <= max(2*mean, mean+2) && (!spare || b.room(c, o)) {
 			return c
 		}
 	}
@@ -411,6 +403,11 @@
 	return least
 }
 
+// doubtful tells whether a cache, or all of its zone, lately answered this proxy nothing.
+func (b *Balancer) doubtful(c *cache, now Time) bool {
+	return c.doubt.Stands(now) || b.zones[c.Zone].Stands(now)
+}
+
 func (b *Balancer) toCache(o *op) {
 	c := b.route(o)
 	switch {
@@ -546,6 +543,11 @@
 		b.strain += (1 - b.strain) * strainUp * load
 		b.failed = now
 	}
+	if zone := b.zones[c.Zone]; c != b.origin && (how == ConnectFailed || how == TimedOut && ill >= 0.5) {
+		zone.Silent(now, 4*b.shortest)
+	} else if c != b.origin && how != TimedOut && how != Cancelled && how != Moot {
+		zone.Heard()
+	}
 	if c != b.origin && (how == Full || how == ConnectFailed || how != Broken && ill >= 0.25) {
 		b.suspect(c)
 	} else if how == Acked && !c.slow {
@@ -602,7 +604,7 @@
 // suspect lets a cache be passed over for as long as this proxy's next few pushes there would take to come:
 // where each sees little of it, one failure tells more than all that it answered before.
 func (b *Balancer) suspect(c *cache) {
-	span := Time(doubtful * b.gap * float64(len(b.ranks)))
+	span := Time(doubts * b.gap * float64(len(b.ranks)))
 	c.doubt.Begin(b.host.Now(), min(span, 64*b.shortest))
 }
 
