An origin that is jammed is asked less by many proxies; doubt only where each sees little

Each proxy sees five of its answers a second. At fault: pump counted the chance of an answer from answers only, never from those that did not come; learn doubled a limit under one push with each answer, and took a twentieth off for a slow one, so that 80 limits never came down to what one origin takes. Now a time-out that was waited for in full counts as a late answer, an old estimate gives way to trying, limits under one push grow by a quarter and fall by a fifth. Fetches told as pending: none in 44,000 pushes, so nothing to wait for.

--- a/decide/evidence/evidence_test.go
+++ b/decide/evidence/evidence_test.go
@@ -17,6 +17,16 @@
 	return s
 }
 
+// late holds so many pushes that were all waited for in vain.
+func late(n float64) *Spans {
+	s := &Spans{}
+	for range 40 {
+		s.Add(4 * 150)
+	}
+	s.Fade(n / 40)
+	return s
+}
+
 func TestWeights(t *testing.T) {
 	const target = 150.0
 	tail := spans(0) // a queue: a fifth of its answers come near the target
@@ -44,6 +54,8 @@
 		{"no time for another", Patience(spans(0), 0.1, 45), 0, 0},
 		{"chance with nothing seen and little left", (&Spans{}).Chance(20, target), 0, 0},
 		{"chance with nothing seen and enough left", (&Spans{}).Chance(60, target), 1, 1},
+		{"chance of an origin that answered nobody in time", late(40).Chance(150, target), 0, 0.1},
+		{"the same, long ago: it is asked again", late(0.2).Chance(150, target), 0.8, 1},
 		{"chance of the quick ones", spans(0).Chance(15, target), 0.05, 0.35},
 		{"beyond all bins", spans(0).By(1e9), 1, 1},
 		{"an answer of no time and one of years", func() float64 {
--- a/decide/evidence/weight.go
+++ b/decide/evidence/weight.go
@@ -18,14 +18,12 @@
 	return late
 }
 
-// Chance is the share of answers that come within a span: an estimate for one more push. Where none was ever
-// seen it is 0 under a third of the target latency, so that a server that answers nobody is not asked by ops
-// with hardly any time left, whose time-outs prove nothing.
+// Chance is the share of answers that come within a span: an estimate for one more push. Where little was seen, or long
+// ago, it is near 0 under a third of the target latency, so that a server that answers nobody is not asked by ops
+// with hardly any time left, whose time-outs prove nothing; above that near 1, so that one that answered nobody
+// for a while is asked again.
 func (s *Spans) Chance(span, target float64) float64 {
-	if s.total <= 0 {
-		return ramp(span, target/3-1, target/3)
-	}
-	return s.By(span)
+	return (s.total*s.By(span) + ramp(span, target/3-1, target/3)) / (s.total + 1)
 }
 
 // Lost is how surely a push without an answer, waited for in full, got lost rather than queued, 0 to 1. A queue
--- /dev/null
+++ b/decide/fleet/fleet_test.go
@@ -0,0 +1,80 @@
+package fleet
+
+import "testing"
+
+func TestTurnsFillTheSpanInOrder(t *testing.T) {
+	for _, n := range []int{1, 2, 80} {
+		last := int64(0)
+		for i := range n {
+			from, to := Turn(i, n, int64(50000))
+			if from != last || to <= from {
+				t.Fatalf("turn %d of %d: %d to %d after %d", i, n, from, to, last)
+			}
+			last = to
+		}
+		if last != 50000 {
+			t.Errorf("%d turns end at %d", n, last)
+		}
+	}
+	for _, c := range [][2]int{{-1, 80}, {80, 80}, {5, 0}, {1 << 40, 3}} { // what a bad configuration may say
+		if from, to := Turn(c[0], c[1], int64(50000)); from < 0 || to > 50000 || from >= to {
+			t.Errorf("number %d of %d: %d to %d", c[0], c[1], from, to)
+		}
+	}
+}
+
+func TestBackoffDoublesToItsMost(t *testing.T) {
+	var b Backoff[int64]
+	for i, want := range []int64{50, 100, 200, 200, 200} {
+		if got := b.Failed(50, 200); got != want {
+			t.Errorf("failure %d: %d, want %d", i, got, want)
+		}
+	}
+	for range 100 {
+		if got := b.Failed(50, 200); got != 200 {
+			t.Fatalf("overflows to %d", got)
+		}
+	}
+	if b.Held(); b.Failed(50, 200) != 50 {
+		t.Error("an answer does not end it")
+	}
+	if b.Held(); b.Failed(0, 0) != 1 {
+		t.Error("no span at all would call again at once")
+	}
+}
+
+func TestDoubtAndSilence(t *testing.T) {
+	var d Doubt[int64]
+	if d.Stands(0) {
+		t.Error("doubt without a failure")
+	}
+	at := int64(100)
+	for i, want := range []int64{10, 20, 40, 40} {
+		d.Begin(at, 10)
+		d.Begin(at+1, 10) // sent before the doubt, or for want of a better one
+		if !d.Stands(at+want-1) || d.Stands(at+want) {
+			t.Errorf("failure %d: not in doubt for %d", i, want)
+		}
+		at += want
+	}
+	d.Begin(at, 10)
+	if d.End(); d.Stands(at) {
+		t.Error("an answer does not end it")
+	}
+	var s Silence[int64]
+	for i := range inARow {
+		if s.Stands(at) {
+			t.Fatalf("silent after %d", i)
+		}
+		s.Silent(at, 10)
+	}
+	if !s.Stands(at) || s.Stands(at+10) {
+		t.Error("failures in a row are not heard")
+	}
+	if s.Silent(at+10, 10); !s.Stands(at + 29) {
+		t.Error("one more does not renew it for longer")
+	}
+	if s.Heard(); s.Stands(at + 11) {
+		t.Error("an answer does not end it")
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -403,9 +403,10 @@
 	return least
 }
 
-// doubtful tells whether a cache, or all of its zone, lately answered this proxy nothing.
+// doubtful tells whether a cache, or all of its zone, lately failed this proxy. Of few proxies each sees enough to go
+// by limits and health, and a pass over would only cost a copy.
 func (b *Balancer) doubtful(c *cache, now Time) bool {
-	return c.doubt.Stands(now) || b.zones[c.Zone].Stands(now)
+	return b.Proxies > firstLimit && (c.doubt.Stands(now) || b.zones[c.Zone].Stands(now))
 }
 
 func (b *Balancer) toCache(o *op) {
@@ -539,6 +540,8 @@
 				b.all.span.Add(b.ticks(taken))
 			}
 		}
+	} else if c == b.origin && how == TimedOut && p.full {
+		c.span.Add(4 * b.ticks(taken)) // when it would have come is not known: far later
 	} else if c != b.origin && load > 0 {
 		b.strain += (1 - b.strain) * strainUp * load
 		b.failed = now
@@ -670,10 +673,14 @@
 			taken -= c.near
 		}
 		if taken > inTime {
-			b.cut(c, now, 0.95)
+			by := 0.95
+			if c == b.origin && c.limit < 1 {
+				by = 0.8
+			}
+			b.cut(c, now, by)
 		} else if float64(c.out+1) >= c.limit/2 && (c.shared || c.limit < 1 || taken < inTime/3) {
 			grow := c.limit / 4
-			if c.shared {
+			if c.shared && c.limit >= 1 {
 				grow = c.limit
 			}
 			c.limit += min(1/c.limit, grow)
