--- a/cmd/mintlab/main.go
+++ b/cmd/mintlab/main.go
@@ -16,6 +16,7 @@
 
 	"minttray/lab/baseline"
 	"minttray/lab/experiment"
+	"minttray/lab/logsum"
 	"minttray/lab/report"
 	"minttray/lab/run"
 )
@@ -43,9 +44,10 @@
     mintlab run experiments/calm.toml            one experiment; results under runs/
     mintlab check experiments/*.toml             what is wrong with a file, by line and field
     mintlab compare runs/A runs/B                two sets of runs side by side, on the same seeds
+    mintlab logs DIR                             what a fleet's proxies counted, summed by second
 
 Exit status: 0 rules kept, 1 a rule broken or a proxy crashed, 2 unusable input, 3 a run that proves nothing.`}
-	root.AddCommand(runCommand(), worldCommand(), checkCommand(), compareCommand(), showCommand(), judgeCommand())
+	root.AddCommand(runCommand(), worldCommand(), checkCommand(), compareCommand(), showCommand(), judgeCommand(), logsCommand())
 	if err := root.Execute(); err != nil {
 		var s status
 		if errors.As(err, &s) {
@@ -276,3 +278,20 @@
 	}
 	return all, nil
 }
+
+func logsCommand() *cobra.Command {
+	span, match := time.Second, ""
+	c := &cobra.Command{Use: "logs DIR", Short: "Sums the counters and log lines of a fleet's proxies, by span of time.", Args: cobra.ExactArgs(1),
+		Long: `Reads all DIR/*.log, one proxy's each, as written with MINTTRAY_COUNTERS=1s, with or without a time in seconds
+ahead of each line, and prints what the fleet counted in each span. Lines that can't be read are counted by reason.`,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			sum, err := logsum.Dir(args[0], span)
+			if err != nil {
+				return err
+			}
+			return sum.Write(cmd.OutOrStdout(), match)
+		}}
+	c.Flags().DurationVar(&span, "span", span, "of one column")
+	c.Flags().StringVar(&match, "match", "", "only rows whose name holds this text")
+	return c
+}
