--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -65,6 +65,9 @@
 		{`"sockets":1024`, `"sockets":10`, "limits.sockets: "},
 		{`"settings"`, `"other"`, "settings: "},
 		{`"read_like"`, `"sometimes"`, "settings: categories[0].effect: "},
+		{`"balancers":3`, `"balancers":-3`, "settings: balancers: "},
+		{`"balancers":3`, `"balancers":80000000`, "settings: balancers: "},
+		{`"balancers":3`, `"balancers":3,"index":-1`, "settings: index: "},
 	} {
 		_, err := load(t, strings.Replace(good, c.old, c.new, 1), map[string]string{"BALANCER_NAME": "n3"})
 		if err == nil || !strings.HasPrefix(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -66,6 +66,8 @@
 	Zones []string `json:"zones"`
 }
 
+const mostProxies = 1 << 20
+
 // Settings is what the module reads, and beside it what only a proxy on sockets needs.
 type Settings struct {
 	Policy                     policy.Settings
@@ -104,6 +106,13 @@
 	if err := json.Unmarshal(text, &c); err != nil {
 		return all, fmt.Errorf("settings: %w", err)
 	}
+	// Each proxy's part of the whole hangs on these two. None told: one proxy, which keeps a small fleet's habits.
+	if c.Balancers < 0 || c.Balancers > mostProxies {
+		return all, fmt.Errorf("settings: balancers: %d is not 0 to %d", c.Balancers, mostProxies)
+	}
+	if c.Index < 0 || c.Index > mostProxies {
+		return all, fmt.Errorf("settings: index: %d is not 0 to %d", c.Index, mostProxies)
+	}
 	if len(c.Categories) == 0 {
 		return all, fmt.Errorf("settings: categories is empty")
 	}
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -136,6 +136,7 @@
 	bad   func(cache uint32) bool
 	lost  *int // pushes to caches that answer nobody
 	sent  *int
+	heard func(cache uint32) // each push
 }
 
 func (m *traffic) Now() Time { return m.clock.now }
@@ -146,6 +147,9 @@
 	n := m.pushes[op]
 	m.pushes[op]++
 	*m.sent++
+	if m.heard != nil {
+		m.heard(cache)
+	}
 	took, how := Time(500), Acked
 	if m.bad(cache) {
 		*m.lost++
@@ -155,8 +159,9 @@
 }
 func (m *traffic) Nack(uint32, Time) {}
 
-// play sends each proxy of a fleet twenty ops a second for a span.
-func play(t *testing.T, proxies int, caches []Entry, span Time, bad func(cache uint32) bool) (fleet []*traffic, clock *fleetClock) {
+// play sends each proxy of a fleet an op in each gap on the mean for a span.
+func play(t *testing.T, proxies int, caches []Entry, span Time, gap func(proxy int) Time, bad func(cache uint32) bool) (
+	fleet []*traffic, clock *fleetClock) {
 	clock = &fleetClock{now: 1000}
 	seeds := rand.New(rand.NewPCG(3, 4))
 	for i := range proxies {
@@ -167,8 +172,11 @@
 			FallMultiple: 3}, seeds.Uint64(), m)
 		m.b.ListArrived(ListCached, caches)
 		fleet = append(fleet, m)
-		for at, id := Time(seeds.IntN(1000)), uint32(1); at < span; at, id = at+Time(seeds.IntN(1000)), id+1 {
+		for at, id := Time(seeds.IntN(1000)), uint32(1); at < span; at, id = at+Time(seeds.IntN(2*int(gap(i)))), id+1 {
 			key := seeds.Uint64N(5000) + 1
+			if id%5 == 0 {
+				key = seeds.Uint64N(40) + 1 // some keys are asked for far more than others
+			}
 			clock.after(at, func() { m.b.OpArrived(id, key, 0, 0, false, false, 5400) })
 		}
 	}
@@ -182,7 +190,7 @@
 	for i := range uint32(60) {
 		caches = append(caches, Entry{ID: i + 1, Weight: 1, Zone: int(i % 3)})
 	}
-	fleet, clock := play(t, 80, caches, 200000, func(cache uint32) bool { return cache%10 == 1 })
+	fleet, clock := play(t, 80, caches, 200000, func(int) Time { return 500 }, func(cache uint32) bool { return cache%10 == 1 })
 	share := func(until Time) float64 {
 		for _, m := range fleet {
 			*m.sent, *m.lost = 0, 0
@@ -198,3 +206,53 @@
 		t.Errorf("of all pushes %.3f, then %.3f go to a tenth of the caches that answers nobody", first, then)
 	}
 }
+
+// Danger: many caches come up cold at once, each proxy allows each of them a little, and lists arrive at unlike times at
+// proxies of unlike load: the sum pushes a cold cache over.
+func TestAFleetDoesNotPushColdCachesOver(t *testing.T) {
+	const proxies, start, window, capacity = 80, 50000, 30000, 25.0
+	var old, all []Entry
+	for i := range uint32(60) {
+		e := Entry{ID: i + 1, Weight: 1}
+		if i%3 == 0 {
+			e.Start = start
+		} else {
+			old = append(old, e)
+		}
+		all = append(all, e)
+	}
+	// A quarter of the proxies take four times what the others do, and the fleet as a whole is asked for a little more than
+	// it could do warm, which is 25 pushes a second and cache.
+	gap := func(proxy int) Time {
+		if proxy%4 == 0 {
+			return 219
+		}
+		return 875
+	}
+	fleet, clock := play(t, proxies, old, 200000, gap, func(uint32) bool { return false })
+	at := map[uint32][]Time{}
+	for i, m := range fleet {
+		m.heard = func(cache uint32) { at[cache] = append(at[cache], clock.now) }
+		clock.after(start+Time(i%5)*2000, func() { m.b.ListArrived(ListFull, all) })
+	}
+	clock.run(200000)
+	worst, least := 0.0, 1.0
+	for _, e := range all {
+		if e.Start == 0 {
+			continue
+		}
+		for i, from := range at[e.ID] {
+			share := 0.3 + 0.7*float64(min(from+window/2-start, 80000))/80000 // the mean over the window
+			n, _ := slices.BinarySearch(at[e.ID], from+window)
+			worst = max(worst, float64(n-i)/(3*share*capacity*window/10000))
+		}
+		n, _ := slices.BinarySearch(at[e.ID], start+80000)
+		least = min(least, float64(n)/(capacity*8))
+	}
+	if worst > 1 {
+		t.Errorf("a cold cache was sent %.2f of what pushes it over", worst)
+	}
+	if least < 0.25 { // nor may it be starved: then its keys would stay cold
+		t.Errorf("a cold cache got %.2f of a warm one's capacity while it warmed up", least)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -26,12 +26,12 @@
 
 const (
 	slack                = 4                   // s0 of the design
-	spareSeats           = 256                 // seats to s0, at the least: m then stands still while a fleet grows
+	spareSeats           = 256                 // seats to s0, at the least: a fleet grows, m does not
 	candidates           = 3                   // caches that a key may go to on the ordinary path
-	doubts               = 2                   // pushes to a cache for which one that failed there, or is slow, is passed over
+	doubts               = 2                   // pushes to a cache for which one in doubt is passed over
 	quarters             = 5                   // four quarters of the cold window, and the one begun
-	coldMargin           = 0.8                 // of the cold budget, left for chance and for works of unlike size
-	firstLimit           = 12                  // in flight to one cache from all proxies, before anything is learned
+	coldMargin           = 0.8                 // of the cold budget, the rest is for chance and unlike works
+	firstLimit           = 12                  // in flight to a cache from all proxies, nothing learned yet
 	leastTokens          = 4                   // a share split among many proxies must still fill to whole ops
 	mostNews             = 32 * 8              // bytes in one message
 	strainUp, strainDown = 1.0 / 16, 1.0 / 128 // what a failure adds to strain, what an answer takes off it
@@ -139,7 +139,8 @@
 // New starts a proxy; a list of kind ListCached is expected next.
 func New(s Settings, seed uint64, h Host) *Balancer {
 	b := &Balancer{Settings: s, host: h, rnd: pcg{seed}, caches: map[uint32]*cache{}, ops: map[uint32]*op{},
-		tries: make([]evidence.Wait[Time], len(s.Categories)*(len(s.Quotas)+1)), zones: map[int]*fleet.Silence[Time]{},
+		tries:    make([]evidence.Wait[Time], len(s.Categories)*(len(s.Quotas)+1)),
+		zones:    map[int]*fleet.Silence[Time]{},
 		shortest: s.Categories[0].Target, first: max(firstLimit/float64(s.Proxies), 1)}
 	for _, c := range s.Categories {
 		b.benefit = max(b.benefit, c.Benefit)
@@ -341,8 +342,8 @@
 		o.cat.Group == GroupCell && c.Cell == o.ran.to.Cell
 }
 
-// choices gives the first n caches that a key maps to; a missing rank is rehashed. All salts are one sequence: the
-// next choice is where the key lives without the first, so that it moves once when a cache comes or goes.
+// choices gives the first n caches that a key maps to; a missing rank is rehashed. All salts go in sequence:
+// the next choice is where the key lives without the first, so that it moves once when a cache comes or goes.
 func (b *Balancer) choices(key uint64) (more func(n int) []*cache) {
 	var choices []*cache
 	salt := uint64(0)
@@ -403,8 +404,8 @@
 	return least
 }
 
-// doubtful tells whether a cache, or all of its zone, lately failed this proxy. Of few proxies each sees enough to go
-// by limits and health, and a pass over would only cost a copy.
+// doubtful tells whether a cache, or all of its zone, lately failed this proxy. Few proxies each see enough
+// to go by limits and health, and a pass over would only cost a copy.
 func (b *Balancer) doubtful(c *cache, now Time) bool {
 	return b.Proxies > firstLimit && (c.doubt.Stands(now) || b.zones[c.Zone].Stands(now))
 }
