--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -137,6 +137,7 @@
 	lost  *int // pushes to caches that answer nobody
 	sent  *int
 	heard func(cache uint32) // each push
+	serve func(op, cache uint32, until Time) (took Time, how Outcome)
 }
 
 func (m *traffic) Now() Time { return m.clock.now }
@@ -155,6 +156,9 @@
 		*m.lost++
 		took, how = until-m.clock.now, TimedOut
 	}
+	if m.serve != nil {
+		took, how = m.serve(op, cache, until)
+	}
 	m.clock.after(took, func() { m.b.PushEnded(op, n, how, false, how == Acked, took) })
 }
 func (m *traffic) Nack(uint32, Time) {}
@@ -256,3 +260,64 @@
 		t.Errorf("a cold cache got %.2f of a warm one's capacity while it warmed up", least)
 	}
 }
+
+// Danger: six in ten caches are replaced by empty ones, all proxies fetch the moved keys at once, and an origin that goes on
+// with work that nobody waits for any more jams and stays jammed.
+func TestAnOriginIsNotJammedWhenMostCachesAreReplaced(t *testing.T) {
+	const origin, each = 1000, 100 // far less than all want: 100 fetches a second
+	list := func(replaced uint32) (all []Entry) {
+		for i := range uint32(60) {
+			e := Entry{ID: i + 1, Weight: 1}
+			if i < replaced {
+				e.ID, e.Start = i+101, 1
+			}
+			all = append(all, e)
+		}
+		return append(all, Entry{ID: origin, Kind: 1, Weight: 1})
+	}
+	fleet, clock := play(t, 80, list(0), 200000, func(int) Time { return 500 }, func(uint32) bool { return false })
+	kept, free, sent, late, acked := map[[2]uint64]bool{}, Time(0), 0, 0, 0
+	for _, m := range fleet {
+		missed := map[uint32][]uint32{}
+		m.b.Aside, m.b.OriginKind, m.b.shadow = true, 1, nil
+		m.b.ListArrived(ListFull, list(0))
+		m.serve = func(op, cache uint32, until Time) (Time, Outcome) {
+			key := m.b.ops[op].key
+			if cache != origin {
+				if kept[[2]uint64{uint64(cache), key}] {
+					acked++
+					return 500, Acked
+				}
+				missed[op] = append(missed[op], cache)
+				return 300, Miss
+			}
+			sent++
+			free = max(free, clock.now) + each
+			wait := free - clock.now + 300
+			if wait >= until-clock.now {
+				late++
+				return until - clock.now, TimedOut
+			}
+			acked++
+			for _, c := range missed[op] {
+				kept[[2]uint64{uint64(c), key}] = true
+			}
+			return wait, Acked
+		}
+	}
+	clock.run(80000)
+	for i := range 7 {
+		clock.run(80000 + Time(i)*10000)
+		for _, m := range fleet {
+			m.b.ListArrived(ListFull, list(uint32(i+1)*36/7))
+		}
+	}
+	sent, late = 0, 0
+	clock.run(170000)
+	wasted := float64(late) / float64(max(sent, 1))
+	acked = 0
+	clock.run(200000)
+	if served := float64(acked) / (80 * 20 * 3); wasted > 0.45 || served < 0.25 {
+		t.Errorf("%.2f of %d fetches came too late, and %.2f of all ops are served in the end", wasted, sent, served)
+	}
+}
