--- a/policy/policy.go
+++ b/policy/policy.go
@@ -342,12 +342,12 @@
 		o.cat.Group == GroupCell && c.Cell == o.ran.to.Cell
 }
 
-// choices gives the first n caches that a key maps to; a missing rank is rehashed. All salts go in sequence:
+// choices gives a walk over the first n caches that a key maps to; a missing rank is rehashed. All salts are one line:
 // the next choice is where the key lives without the first, so that it moves once when a cache comes or goes.
-func (b *Balancer) choices(key uint64) (more func(n int) []*cache) {
+func (b *Balancer) choices(key uint64) func(n int) []*cache {
 	var choices []*cache
 	salt := uint64(0)
-	more = func(n int) []*cache {
+	return func(n int) []*cache {
 		for ; len(choices) < min(n, len(b.ranks)) && salt < uint64(8*b.circle.Size()); salt++ {
 			arc, _ := bits.Mul64(circle.Mix(key, salt), uint64(b.circle.Size()))
 			c := b.seats[b.circle.Bucket(int(arc))]
@@ -359,7 +359,6 @@
 		}
 		return choices
 	}
-	return more
 }
 
 func (b *Balancer) route(o *op) *cache {
