--- a/policy/policy.go
+++ b/policy/policy.go
@@ -342,7 +342,7 @@
 		o.cat.Group == GroupCell && c.Cell == o.ran.to.Cell
 }
 
-// choices walks the first n caches that a key maps to; a missing rank is rehashed. All salts are one sequence:
+// choices walks the caches that a key maps to; a missing rank is rehashed. One sequence of salts:
 // the next choice is where the key lives without the first, so that it moves once when a cache comes or goes.
 func (b *Balancer) choices(key uint64) func(n int) []*cache {
 	var choices []*cache
