--- /dev/null
+++ b/lab/worth/worth.go
@@ -0,0 +1,119 @@
+// Package worth tells what each mechanism of the module earns: it takes one out by a patch, has a simulator score the
+// build, and puts the source back. It reads what the simulator prints, nothing else of it.
+package worth
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Plan is a file of patches.
+type Plan struct {
+	File    string    `toml:"file"` // the source that is patched, from the repository's root
+	Without []Without `toml:"without"`
+}
+
+// Without takes one mechanism out.
+type Without struct {
+	Name string `toml:"name"`
+	Edit []Edit `toml:"edit"`
+}
+
+// Edit puts one text in another's place; that has to stand in the source exactly once.
+type Edit struct {
+	Find string `toml:"find"`
+	Put  string `toml:"put"`
+}
+
+// Read decodes a plan strictly.
+func Read(path string) (*Plan, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	p := &Plan{}
+	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(p); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if p.File == "" || len(p.Without) == 0 {
+		return nil, fmt.Errorf("%s: file or without is missing", path)
+	}
+	return p, nil
+}
+
+// Apply patches a text.
+func (w Without) Apply(text string) (string, error) {
+	for i, e := range w.Edit {
+		if n := strings.Count(text, e.Find); e.Find == "" || n != 1 {
+			return "", fmt.Errorf("%s: edit %d: its text stands in the source %d times, not once", w.Name, i+1, n)
+		}
+		text = strings.Replace(text, e.Find, e.Put, 1)
+	}
+	return text, nil
+}
+
+var estimate = regexp.MustCompile(`estimate on the standard days of \S+ \([^)]*\): (-?[0-9.]+)`)
+
+// score plays one site file.
+func score(bench, site, why string) (float64, error) {
+	out, err := exec.Command(bench, "score", site, "--quick", "--why", why).CombinedOutput()
+	found := estimate.FindSubmatch(out)
+	if found == nil {
+		return 0, fmt.Errorf("%s: no estimate (%v): %s", site, err, out[:min(len(out), 400)])
+	}
+	return strconv.ParseFloat(string(found[1]), 64)
+}
+
+// Run scores the sources as they stand and then without each mechanism, a row each. The file is put back after each,
+// and also when stop closes.
+func (p *Plan) Run(out io.Writer, bench string, sites []string, stop <-chan struct{}) (err error) {
+	kept, err := os.ReadFile(p.File)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if back := os.WriteFile(p.File, kept, 0o644); err == nil {
+			err = back
+		}
+	}()
+	for _, w := range p.Without { // all are tried before the first is played
+		if _, err := w.Apply(string(kept)); err != nil {
+			return err
+		}
+	}
+	fmt.Fprint(out, "| without |")
+	for _, s := range sites {
+		fmt.Fprintf(out, " %s |", strings.TrimSuffix(filepath.Base(s), ".toml"))
+	}
+	fmt.Fprintf(out, "\n| --- |%s\n", strings.Repeat(" --- |", len(sites)))
+	for _, w := range append([]Without{{Name: "nothing"}}, p.Without...) {
+		text, _ := w.Apply(string(kept))
+		if err := os.WriteFile(p.File, []byte(text), 0o644); err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "| %s |", w.Name)
+		for _, s := range sites {
+			select {
+			case <-stop:
+				return fmt.Errorf("stopped")
+			default:
+			}
+			figure, err := score(bench, s, "Worth of each mechanism: without "+w.Name)
+			if err != nil {
+				return fmt.Errorf("%s: %w", w.Name, err)
+			}
+			fmt.Fprintf(out, " %.3f |", figure)
+		}
+		fmt.Fprintln(out)
+	}
+	return nil
+}
