The plan of mintlab worth lies beside its package: check experiments/*.toml takes all again

Cause: worth.toml is no experiment, so that mintlab check experiments/*.toml, as the help has it, named it as wrong.

Change: it is lab/worth/plan.toml now. The fleet test's comment says 50 s between a thin proxy's pushes to one cache, as its figures do.

--- a/cmd/mintlab/worth.go
+++ b/cmd/mintlab/worth.go
@@ -13,7 +13,7 @@
 func worthCommand() *cobra.Command {
 	bench := ""
 	c := &cobra.Command{Use: "worth FILE SITE...", Short: "Scores the module with each mechanism taken out in turn, on a simulator",
-		Long: `worth patches the module as FILE says (experiments/worth.toml), has the simulator build and score it on each
+		Long: `worth patches the module as FILE says (lab/worth/plan.toml), has the simulator build and score it on each
 site, prints a row for each mechanism, and puts the source back. Run it from the root, with the source committed.`,
 		Args: cobra.MinimumNArgs(2),
 		RunE: func(_ *cobra.Command, args []string) error {
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -337,7 +337,7 @@
 	}
 }
 
-// Danger: each of 240 proxies comes to a cache once in ten seconds, so that no limit kept by cache learns in time that all
+// Danger: each of 240 proxies comes to a cache once in 50 s, so that no limit kept by cache learns in time that all
 // are slow. They go on with what nobody waits for, so the jam feeds itself: hardly a push is answered in time.
 func TestAFleetSendsLessWhileAllCachesAreSlow(t *testing.T) {
 	const proxies, gap, work = 240, 8333, 1250 // load 0.6; four times slower, 2.4
