Lab: sites that are lost or cut off, ways that break by direction, processes that stand still

Change: lab/ways stands between every two processes of a run that plays such faults (listeners and connections of the lab's own ends; a cut way drops handshakes in the kernel, by a full queue): cut, slow, thin, silent, reset, by direction and site. Found on the way, in the lab: bytes of pushes long given up that came up after a cut, by the queue and by the sender's kernel, were judged as pushes after the final answer; both are told apart now, with a test.

--- a/lab/experiment/check.go
+++ b/lab/experiment/check.go
@@ -176,6 +176,23 @@
 			one(at+"by", x.By, "term", "kill", "upgrade", "mixed")
 			must(at+"for", x.For > 0, "waves want a span over which they go on")
 		}
+		must(at+"to", zones[x.To] && (x.To == "" || x.To != x.Zone && strings.HasPrefix(x.Kind, "way-")), "%q is no other zone of a way", x.To)
+		if strings.HasPrefix(x.Kind, "site-") {
+			must(at+"zone", x.Zone != "", "a site is wanted")
+			must(at+"for", x.For > 0, "a span is wanted")
+		}
+		if strings.HasPrefix(x.Kind, "way-") {
+			must(at+"zone", x.Zone != "", "a zone is wanted")
+		}
+		if x.Kind == "site-cut" || strings.HasPrefix(x.Kind, "way-") {
+			one(at+"by", x.By, "", "both", "in", "out")
+		}
+		if x.Kind == "site-lost" {
+			one(at+"by", x.By, "", "caches", "proxies", "together")
+		}
+		if x.Kind == "stall" {
+			must(at+"for", x.For > 0, "a span is wanted")
+		}
 		must(at+"name", x.Kind != "runaway" && x.Kind != "impatient" || x.Name == "" || tenants[x.Name], "no tenant %q", x.Name)
 	}
 	return err
--- a/lab/load/conn.go
+++ b/lab/load/conn.go
@@ -18,6 +18,7 @@
 type conn struct {
 	nc    net.Conn
 	proxy *Proxy
+	zone  int // of its client
 	life  uint32
 	load  *Load
 
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -135,7 +135,7 @@
 // try sends one try and waits for its answer, or for as long as its client waits.
 func (l *Load) try(a Arrival, c experiment.Category, try int, wait, leave time.Duration) answer {
 	p := l.front.pick(a.Zone, Mix(a.Pick+uint64(try)), a.Due)
-	nc, err := l.front.dial(p, l)
+	nc, err := l.front.dial(p, a.Zone, l)
 	if err != nil {
 		return answer{how: unreached}
 	}
@@ -152,6 +152,7 @@
 	}
 	got := nc.begin(id, name)
 	nc.nc.SetWriteDeadline(time.Now().Add(wait))
+	cut := l.front.cut(a.Zone, p)
 	// The op counts as taken from its last byte on; booked ahead of the write, its answer can't be booked before it.
 	at := l.now()
 	if _, err := nc.nc.Write([]byte(text)); err != nil {
@@ -178,6 +179,11 @@
 	if !nc.quit() { // its answer has come at this very moment
 		return <-got
 	}
+	if cut || l.front.cut(a.Zone, p) { // what the proxy has answered, if it has heard of it, can't be known here
+		l.book.Put(ledger.Record{Kind: ledger.Left, At: l.now(), Op: id})
+		l.meter.Try(age, again, c.Benefit, false)
+		return answer{how: silence}
+	}
 	if leave > 0 {
 		l.book.Put(ledger.Record{Kind: ledger.Left, At: l.now(), Op: id})
 		return answer{how: left}
--- a/lab/run/run.go
+++ b/lab/run/run.go
@@ -59,6 +59,7 @@
 	time.Sleep(settleTime)
 	meter := measure.New(x)
 	front := load.NewFront(x, f.proxies)
+	front.Ways = w.Ways
 	l := load.Start(x, front, book, meter, w.Start())
 	from := w.Now()
 	player := faults.New(w, f, from, o.Stop)
--- a/lab/run/settings.go
+++ b/lab/run/settings.go
@@ -17,7 +17,7 @@
 func us(s experiment.Span) int64 { return int64(s.D() / time.Microsecond) }
 
 // settings is the deployment as proxies are told it.
-func settings(x *experiment.File) object {
+func settings(x *experiment.File, n int) object {
 	categories, tenants := []object{}, []object{}
 	for _, c := range x.Category {
 		categories = append(categories, object{"name": c.Name, "benefit": c.Benefit, "effect": effects[c.Effect], "group": c.Group,
@@ -39,6 +39,7 @@
 		"family-info": object{"mode": x.Caches.Mode, "origin-kind": 2},
 		"limits": object{"cancelling": true, "conn-idle-us": 60_000_000, "connect-timeout-us": 100_000, "max-open": 20_000,
 			"max-retry-after-us": us(x.Rules.MaxComeBack), "most-pushes": x.Rules.MostPushes, "retry-after": true},
+		"zone": x.ZoneOf(n),
 		"skus": []string{"std", "small", "origin"}, "tick-us": 5000, "zones": x.Zones.Names,
 	}
 }
@@ -61,7 +62,7 @@
 	all := object{
 		"name": fmt.Sprintf("proxy-%d", n), "listen": listen, "discovery": discovery, "seed": fmt.Sprintf("%016x", x.Seed*1000+uint64(n)),
 		"limits": object{"cores": x.Proxies.Cores, "memory_mb": x.Proxies.MemoryMB, "sockets": x.Proxies.Sockets},
-		"known":  known, "settings": settings(x),
+		"known":  known, "settings": settings(x, n),
 	}
 	if control != "" {
 		all["control"] = control
--- a/lab/run/stand.go
+++ b/lab/run/stand.go
@@ -29,7 +29,7 @@
 	defer w.Close()
 	fill(x, w)
 	for n := range x.Proxies.Count {
-		a, err := w.Reg.Agent(n, n%len(x.Zones.Names))
+		a, err := w.Reg.Agent(n)
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/lab/ways/listen.go
@@ -0,0 +1,160 @@
+package ways
+
+import (
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	backlog   = 512
+	mostPlugs = 8
+	plugTime  = 20 * time.Millisecond // a handshake on loopback takes far less
+)
+
+// Listener gives connections that pass the ways from far. While a way between the two is cut no handshake comes up: the
+// kernel drops the first packet of each when the queue of those to accept is full, so the listener makes that queue one
+// place long, fills it with connections of its own, and takes none off until the ways are whole again.
+type Listener struct {
+	*net.TCPListener
+	t         *Table
+	far, near End
+
+	mu    sync.Mutex
+	shut  bool
+	whole time.Time // the ways were cut until then
+	stale bool      // the next one in the queue came up while it was shut
+	plugs []net.Conn
+	over  chan struct{}
+	once  sync.Once
+}
+
+// Listen opens a listener at a loopback address for connections from far to near.
+func (t *Table) Listen(addr string, far, near End) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	k := &Listener{TCPListener: l.(*net.TCPListener), t: t, far: far, near: near, over: make(chan struct{})}
+	t.follow(k, true)
+	k.ruled(nil)
+	return k, nil
+}
+
+// ruled shuts or opens the queue as the rules say now.
+func (l *Listener) ruled(*Rule) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	cut := l.t.Cut(l.far, l.near)
+	if cut == l.shut {
+		return
+	}
+	if l.shut = cut; !cut {
+		l.stale, l.whole = true, time.Now()
+		l.queue(backlog)
+		for _, p := range l.plugs {
+			p.Close()
+		}
+		l.plugs = nil
+		return
+	}
+	l.queue(0)
+	l.fill()
+}
+
+// fill fills the queue; the mutex is held.
+func (l *Listener) fill() {
+	for range mostPlugs {
+		c, err := net.DialTimeout("tcp", l.Addr().String(), plugTime)
+		if err != nil {
+			return
+		}
+		l.plugs = append(l.plugs, c)
+	}
+}
+
+// queue sets how many handshakes may wait to be accepted.
+func (l *Listener) queue(n int) {
+	if raw, err := l.SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) { syscall.Listen(int(fd), n) })
+	}
+}
+
+// late tells whether a connection stood in the queue while that was shut: one that fills it, or one that came up in its place.
+func (l *Listener) late() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	was := l.stale
+	l.stale = false
+	return was
+}
+
+// Accept waits for the next connection.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.TCPListener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		waited := false
+		for l.t.Cut(l.far, l.near) { // one that fills the queue, or came up just before: it stays where it is
+			waited = true
+			_, changed := l.t.is(l.far, l.near)
+			l.mu.Lock()
+			if l.shut { // it has left a place free
+				l.fill()
+			}
+			l.mu.Unlock()
+			select {
+			case <-changed:
+			case <-l.over:
+				c.Close()
+				return nil, net.ErrClosed
+			}
+		}
+		// Danger: what a proxy wrote on such a connection would be read when it has long given that up.
+		if waited || l.late() {
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+			continue
+		}
+		// Danger: a handshake that began before the cut comes up when the sender's kernel tries again, seconds after the cut, with
+		// all that a proxy wrote and has long given up.
+		k := l.t.through(c, l.far, l.near, l.doubt())
+		if there, _ := l.t.is(l.far, l.near); l.t.draw(there.Reset) {
+			k.Abort()
+			continue
+		}
+		return k, nil
+	}
+}
+
+const (
+	triedAgain = 15 * time.Second
+	closed     = 5 * time.Millisecond // for the word that the sender has closed
+)
+
+func (l *Listener) doubt() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if time.Since(l.whole) < triedAgain {
+		return closed
+	}
+	return 0
+}
+
+// Close ends the listener.
+func (l *Listener) Close() error {
+	l.once.Do(func() {
+		l.t.follow(l, false)
+		close(l.over)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for _, p := range l.plugs {
+			p.Close()
+		}
+		l.plugs = nil
+	})
+	return l.TCPListener.Close()
+}
--- /dev/null
+++ b/lab/ways/ways.go
@@ -0,0 +1,127 @@
+// Package ways is the network between every two processes of a run, as the lab may break it: each direction of each pair
+// can be cut, delayed, thinned, and connections can be lost or reset. Processes are real and know nothing of it: what
+// passes through here are the lab's own ends of their connections.
+//
+// A way that is cut is silent: handshakes do not come up, bytes stay on it and come late, or never if the sender closes the
+// connection meanwhile. What was still on its way then is dropped, as a reset does.
+package ways
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+// End is where a connection begins or ends: a place, and the process there.
+type End struct {
+	Site int    // its number; Any: none in particular
+	Name string // of the process; empty: each
+}
+
+// Any is each site.
+const Any = -1
+
+func (e End) holds(x End) bool {
+	return (e.Site == Any || e.Site == x.Site) && (e.Name == "" || e.Name == x.Name)
+}
+
+// Rule is what is wrong with all ways between two ends. It holds for connections whoever opens them.
+type Rule struct {
+	Near, Far End
+	Others    bool          // Far is each site but that of Near
+	Out, In   bool          // from Near to Far, from Far to Near
+	Cut       bool          // nothing comes through
+	Delay     time.Duration // is added
+	Rate      float64       // bytes a second on each connection; 0: as many as come
+	Lose      float64       // share of new connections that come up and then are silent
+	Reset     float64       // share of connections that are reset, the open ones at once and new ones as they come
+}
+
+func (r *Rule) holds(from, to End) bool {
+	far := func(e End) bool { return r.Others && e.Site != r.Near.Site || !r.Others && r.Far.holds(e) }
+	return r.Out && r.Near.holds(from) && far(to) || r.In && r.Near.holds(to) && far(from)
+}
+
+// Table is all rules of a run. Its methods may be called from any goroutine.
+type Table struct {
+	mu      sync.Mutex
+	rules   []*Rule
+	rnd     *rand.Rand
+	changed chan struct{} // closed with each change
+	seen    map[changes]bool
+}
+
+// changes is whom a change of the rules is told to, beside those that wait for it: once for each rule that is put.
+type changes interface{ ruled(put *Rule) }
+
+// New makes a table without rules. What is drawn hangs on the seed and on the order of connections.
+func New(seed uint64) *Table {
+	return &Table{rnd: rand.New(rand.NewPCG(seed, 0x77617973)), changed: make(chan struct{}), seen: map[changes]bool{}}
+}
+
+// Put adds a rule until the function that it gives is called.
+func (t *Table) Put(r Rule) (end func()) {
+	t.change(func() { t.rules = append(t.rules, &r) }, &r)
+	return func() {
+		t.change(func() { t.rules = slices.DeleteFunc(t.rules, func(x *Rule) bool { return x == &r }) }, nil)
+	}
+}
+
+func (t *Table) change(do func(), put *Rule) {
+	t.mu.Lock()
+	do()
+	close(t.changed)
+	t.changed = make(chan struct{})
+	var all []changes
+	for c := range t.seen {
+		all = append(all, c)
+	}
+	t.mu.Unlock()
+	for _, c := range all {
+		c.ruled(put)
+	}
+}
+
+func (t *Table) follow(c changes, on bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if on {
+		t.seen[c] = true
+	} else {
+		delete(t.seen, c)
+	}
+}
+
+// is sums what is wrong in one direction now; changed is closed once it may be otherwise.
+func (t *Table) is(from, to End) (sum Rule, changed <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.rules {
+		if r.holds(from, to) {
+			sum.Cut = sum.Cut || r.Cut
+			sum.Delay += r.Delay
+			if r.Rate > 0 && (sum.Rate == 0 || r.Rate < sum.Rate) {
+				sum.Rate = r.Rate
+			}
+			sum.Lose, sum.Reset = max(sum.Lose, r.Lose), max(sum.Reset, r.Reset)
+		}
+	}
+	return sum, t.changed
+}
+
+// Cut tells whether a connection from one end to the other can't come up now: either direction is enough.
+func (t *Table) Cut(from, to End) bool {
+	there, _ := t.is(from, to)
+	back, _ := t.is(to, from)
+	return there.Cut || back.Cut
+}
+
+func (t *Table) draw(share float64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return share > 0 && t.rnd.Float64() < share
+}
+
+func (e End) String() string { return fmt.Sprintf("%s@%d", e.Name, e.Site) }
--- a/lab/world/registry.go
+++ b/lab/world/registry.go
@@ -37,6 +37,7 @@
 
 	reg     *Registry
 	zone    int
+	door    int
 	server  *http.Server
 	mu      sync.Mutex
 	version uint64
@@ -82,17 +83,18 @@
 		late := a.late
 		a.mu.Unlock()
 		span := time.Duration(float64(r.w.Exp.List.Late.D()+late) * (0.5 + 0.5*r.w.draw(uint64(c.Number), uint32(i), fmt.Sprint("late", e.version))))
-		time.AfterFunc(span, func() { a.learn(e) })
+		time.AfterFunc(span, func() { a.hear(e) })
 	}
 }
 
 // Agent opens one for a proxy in a zone. It begins with the list as it is.
-func (r *Registry) Agent(n, zone int) (*Agent, error) {
-	l, err := listen(fmt.Sprintf("127.28.0.%d:0", n+1))
+func (r *Registry) Agent(n int) (*Agent, error) {
+	zone, at := r.w.Exp.ZoneOf(n), r.w.doorOf(n)
+	l, err := r.w.listen(fmt.Sprintf("127.28.0.%d:0", n+1), r.w.doors()[at], r.w.listEnd(zone))
 	if err != nil {
 		return nil, err
 	}
-	a := &Agent{Addr: l.Addr().String(), reg: r, zone: zone, entries: map[uint32]entry{}, changed: make(chan struct{}), version: 1,
+	a := &Agent{Addr: l.Addr().String(), reg: r, zone: zone, door: at, entries: map[uint32]entry{}, changed: make(chan struct{}), version: 1,
 		told: map[uint32]uint32{}}
 	r.mu.Lock()
 	for _, e := range r.state {
@@ -107,6 +109,18 @@
 	return a, nil
 }
 
+const askAgain = 100 * time.Millisecond // of a replica whose way to another site is cut
+
+// hear has news come from a cache's site to the agent's; over a cut way it waits.
+func (a *Agent) hear(e entry) {
+	w := a.reg.w
+	if w.Ways != nil && e.Zone != a.zone && w.Ways.Cut(w.listEnd(e.Zone), w.listEnd(a.zone)) {
+		time.AfterFunc(askAgain, func() { a.hear(e) })
+		return
+	}
+	a.learn(e)
+}
+
 func (a *Agent) learn(e entry) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -176,7 +190,7 @@
 			all = append(all, a.instance(e))
 		}
 	}
-	all = append(all, instance{ID: "origin", Addr: a.reg.w.Origin.addr, Zone: a.reg.w.Exp.Zones.Names[0], Kind: "origin", Cycle: "active", Weight: 1})
+	all = append(all, instance{ID: "origin", Addr: a.reg.w.Origin.addrs[a.door], Zone: a.reg.w.Exp.Zones.Names[0], Kind: "origin", Cycle: "active", Weight: 1})
 	return map[string]any{"generation": a.version, "reset": true, "instances": all}
 }
 
@@ -186,7 +200,7 @@
 	if c.Small {
 		weight = 0.5
 	}
-	return instance{ID: e.ID, Addr: c.addrs[a.zone], Zone: a.reg.w.Exp.Zones.Names[e.Zone], Kind: e.Kind, Cycle: cycles[e.State],
+	return instance{ID: e.ID, Addr: c.addrs[a.door], Zone: a.reg.w.Exp.Zones.Names[e.Zone], Kind: e.Kind, Cycle: cycles[e.State],
 		Weight: weight, Started: e.Started}
 }
 
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -14,6 +14,7 @@
 
 	"minttray/lab/experiment"
 	"minttray/lab/ledger"
+	"minttray/lab/ways"
 )
 
 // World is all stand-ins of one run.
@@ -23,6 +24,8 @@
 	Origin *Origin
 	Reg    *Registry
 
+	Ways *ways.Table // nil: nothing is ever wrong between two processes, and nothing stands in between
+
 	start  time.Time
 	mu     sync.Mutex
 	caches []*Cache // by server number - 1; the origin is 0
@@ -39,6 +42,9 @@
 // New makes a world and opens its listeners; its clock starts here.
 func New(exp *experiment.File, book *ledger.Book) (*World, error) {
 	w := &World{Exp: exp, Book: book, start: time.Now()}
+	if exp.Cuts() {
+		w.Ways = ways.New(exp.Seed)
+	}
 	w.Reg = newRegistry(w)
 	o, err := newOrigin(w)
 	if err != nil {
@@ -160,9 +166,56 @@
 	return n
 }
 
-// listen opens a listener on a loopback address of its own.
-func listen(addr string) (net.Listener, error) {
-	return net.Listen("tcp", addr)
+// door is where some proxies reach a server: each zone has one, or each proxy where ways between two processes may break.
+type door struct {
+	zone int
+	from ways.End
+}
+
+func (w *World) doors() (all []door) {
+	if w.Ways == nil {
+		for zone := range w.Exp.Zones.Names {
+			all = append(all, door{zone: zone})
+		}
+		return all
+	}
+	for n := range w.Exp.Proxies.Count {
+		all = append(all, door{w.Exp.ZoneOf(n), w.Proxy(n)})
+	}
+	return all
+}
+
+// doorOf is the number of a proxy's door.
+func (w *World) doorOf(n int) int {
+	if w.Ways == nil {
+		return w.Exp.ZoneOf(n)
+	}
+	return n
+}
+
+// Proxy is a proxy's end of its ways.
+func (w *World) Proxy(n int) ways.End {
+	return ways.End{Site: w.Exp.ZoneOf(n), Name: fmt.Sprintf("proxy-%d", n)}
+}
+
+// Origin's and the list's ends of their ways; the list has a replica in each site.
+func (w *World) OriginEnd() ways.End       { return ways.End{Name: "origin"} }
+func (w *World) listEnd(site int) ways.End { return ways.End{Site: site, Name: "list"} }
+
+// listen opens a listener on a loopback address of its own, for those who come through a door.
+func (w *World) listen(addr string, d door, near ways.End) (net.Listener, error) {
+	if w.Ways == nil {
+		return net.Listen("tcp", addr)
+	}
+	return w.Ways.Listen(addr, d.from, near)
+}
+
+// sent is when what was last read from a connection was sent.
+func (w *World) sent(c net.Conn) time.Duration {
+	if k, ok := c.(*ways.Conn); ok {
+		return k.Sent().Sub(w.start)
+	}
+	return w.Now()
 }
 
 func (w *World) conn() uint32 { return w.conns.Add(1) }
