Operators take a whole site out, and call it back, over a span: /_sites/detach and attach

Need: a site is taken out before work on it; caches one by one are many calls, and all at once moves a third of all keys in a moment. Change: one call a proxy names the site and a span; its caches go one after another in an order by their ids, the same at every proxy without talk (decide/site.Hand), the clients of proxies that stand there are sent on. What would leave no cache in use is refused (409). The word stands in the state file with its time, outlives an upgrade, and for ten minutes what was called back. Figures svc_sites_out, svc_site_cache_nodes_out.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"minttray/decide/lifecycle"
+	"minttray/internal/state"
 )
 
 const (
@@ -33,6 +34,7 @@
 	ErrEnding  = lifecycle.ErrEnding
 	ErrUnknown = errors.New("no cache has this id")
 	ErrBusy    = errors.New("not done in time; what it has changed is not known")
+	ErrLast    = errors.New("no cache in use would be left")
 )
 
 // Calls is what can be called.
@@ -41,6 +43,7 @@
 	Figures  func(io.Writer)
 	Out      func(id string, out bool) error // a cache
 	SendAway func(away bool) error
+	Site     func(name string, out bool, over time.Duration) error // all caches of a site, one after another over a span
 }
 
 // Server answers calls.
@@ -80,6 +83,21 @@
 			s.answer(w, path+" "+id, s.Out(id, out))
 		})
 	}
+	for path, out := range map[string]bool{"detach": true, "attach": false} {
+		mux.HandleFunc("POST /_sites/"+path, func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			words := strings.Fields(string(body))
+			over, err := time.Duration(0), error(nil)
+			if len(words) == 2 {
+				over, err = time.ParseDuration(words[1])
+			}
+			if len(words) < 1 || len(words) > 2 || err != nil || over < 0 || over > state.LongestOver {
+				http.Error(w, "the body holds no site, or no span of at most an hour behind it, such as \"30s\"", http.StatusBadRequest)
+				return
+			}
+			s.answer(w, "site "+path+" "+words[0]+" "+over.String(), s.Site(words[0], out, over))
+		})
+	}
 	for path, away := range map[string]bool{"on": true, "off": false} {
 		mux.HandleFunc("POST /_lameduck/"+path, func(w http.ResponseWriter, _ *http.Request) {
 			s.answer(w, "lameduck "+path, s.SendAway(away))
@@ -119,7 +137,7 @@
 		io.WriteString(w, "ok\n")
 	case errors.Is(err, ErrUnknown):
 		http.Error(w, err.Error(), http.StatusNotFound)
-	case errors.Is(err, ErrEnding):
+	case errors.Is(err, ErrEnding), errors.Is(err, ErrLast):
 		http.Error(w, err.Error(), http.StatusConflict)
 	default:
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -35,6 +35,13 @@
 			}
 			return nil
 		},
+		Site: func(name string, out bool, over time.Duration) error {
+			*did = append(*did, fmt.Sprint("site ", name, " ", out, " ", over))
+			if name == "only" {
+				return ErrLast
+			}
+			return nil
+		},
 		SendAway: func(away bool) error {
 			*did = append(*did, fmt.Sprint("away ", away))
 			return ErrEnding
@@ -90,6 +97,13 @@
 		{"POST", "/_lameduck/on", "", 409, "away true"},
 		{"POST", "/_lameduck/off", "", 409, "away false"},
 		{"POST", "/_lameduck", "", 404, ""},
+		{"POST", "/_sites/detach", "b 30s", 200, "site b true 30s"},
+		{"POST", "/_sites/attach", "b", 200, "site b false 0s"},
+		{"POST", "/_sites/detach", "only", 409, "site only true 0s"},
+		{"POST", "/_sites/detach", "", 400, ""},
+		{"POST", "/_sites/detach", "b 30", 400, ""},
+		{"POST", "/_sites/detach", "b 2h", 400, ""},
+		{"GET", "/_sites/detach", "", 405, ""},
 	} {
 		*did = nil
 		status, body := call(t, addr, request(c.method, c.path, c.body))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -101,14 +101,14 @@
 		store = state.Open(cmp.Or(get("TMPDIR"), os.TempDir()), c.Name, c.Listen)
 	}
 	shifts := newShifts(log, store, said)
-	shifts.print = s.Print()
+	shifts.print, shifts.zones, shifts.zone, shifts.book = s.Print(), s.Zones, s.Policy.Zone, book
 	word := shifts.word()
 	kept := newKeeper(log, said, c.Name, c.Listen, s)
 	learned := shifts.given()
 	if learned == nil {
 		learned = kept.take()
 	}
-	e := engine.New(engine.Options{Out: word.Out, Back: word.Back, Memory: learned,
+	e := engine.New(engine.Options{Out: word.Out, Back: word.Back, Memory: learned, Sites: shifts.sites(word),
 		Settings: s.Policy, Seed: c.Seed, Module: module, Logger: log, MaxOps: most(s), MaxBytes: memory / 8,
 		Connect: func(m engine.Member) engine.Server {
 			if m.Kind == s.Policy.OriginKind {
@@ -127,7 +127,7 @@
 	}
 	f := &front.Front{Engine: e, Names: front.NewNames(s, book), Book: book,
 		Piled: memory / 8, Long: memory / 4, Log: log}
-	shifts.front, shifts.engine, shifts.book = f, e, book
+	shifts.front, shifts.engine = f, e
 	shifts.share = func(other bool) {
 		part := 1
 		if other {
--- a/internal/daemon/shifts.go
+++ b/internal/daemon/shifts.go
@@ -45,6 +45,8 @@
 	born   time.Time
 	share  func(shared bool) // the limits, with another process
 	print  string            // of the settings in force, in short
+	zones  []string          // by number
+	zone   int               // this proxy's
 
 	file   sync.Mutex // guards what follows; never taken while mu is held
 	store  *state.Store
@@ -81,6 +83,7 @@
 		Figures:  func(w io.Writer) { s.book.Write(w) },
 		Out:      s.out,
 		SendAway: s.sendAway,
+		Site:     s.site,
 	}}
 	go server.Serve(l)
 	return server, nil
@@ -109,7 +112,8 @@
 
 // look takes the figures that only the engine knows, and follows what was said to another process.
 func (s *shifts) look() {
-	s.engine.Glance(func(c policy.Counts) {
+	s.engine.Glance(func(c policy.Counts, handed int) {
+		s.book.Handed.Store(int64(handed))
 		s.book.Known.Store(int64(c.Listed))
 		s.book.Out.Store(int64(c.Avoided))
 	})
@@ -126,7 +130,7 @@
 		s.log.Warn().Err(err).Msg("what operators said is not known; what they said before holds")
 		return
 	}
-	if err := s.engine.SetOut(w.Out, callTime); err != nil {
+	if err := errors.Join(s.engine.SetOut(w.Out, callTime), s.engine.SetSites(s.sites(w), callTime)); err != nil {
 		s.log.Warn().Err(err).Msg("caches out by hand not taken over")
 	}
 	s.turnAway(w.Away)
@@ -248,6 +252,65 @@
 	})
 }
 
+// sites are the words on sites as the engine takes them; the figure of sites out follows.
+func (s *shifts) sites(w state.Word) map[int]engine.SiteWord {
+	all, out := map[int]engine.SiteWord{}, 0
+	for name, word := range w.Sites {
+		if zone := slices.Index(s.zones, name); zone >= 0 {
+			all[zone] = engine.SiteWord(word)
+		}
+		if word.Out {
+			out++
+		}
+	}
+	s.book.Sites.Store(int64(out))
+	return all
+}
+
+// site takes a whole site out, or calls it back: its caches in their turns, and the clients of this proxy, if it stands there.
+func (s *shifts) site(name string, out bool, over time.Duration) error {
+	zone := slices.Index(s.zones, name)
+	if zone < 0 {
+		return control.ErrUnknown
+	}
+	var before state.Word
+	word := state.Site{Out: out, At: time.Now(), Over: over}
+	s.mu.Lock()
+	wasAway := !s.life.Yes()
+	s.mu.Unlock()
+	return s.say(func() error {
+		before, _ = s.store.Peek() // what can't be used is replaced
+		if was, told := before.Sites[name]; told && was.Out == out {
+			word = was // said twice it changes nothing: a second call must not begin anew
+		}
+		err := s.engine.Site(zone, engine.SiteWord(word), callTime)
+		switch {
+		case errors.Is(err, engine.ErrUnknown):
+			return control.ErrUnknown
+		case errors.Is(err, engine.ErrLast):
+			return control.ErrLast
+		case errors.Is(err, engine.ErrBusy):
+			return control.ErrBusy
+		case err == nil && zone == s.zone:
+			err = s.turnAway(out)
+		}
+		return err
+	}, func() error {
+		if zone == s.zone {
+			s.turnAway(wasAway)
+		}
+		return s.engine.SetSites(s.sites(before), callTime)
+	}, func(w *state.Word) {
+		if w.Sites == nil {
+			w.Sites = map[string]state.Site{}
+		}
+		if w.Sites[name] = word; zone == s.zone {
+			w.Away = out
+		}
+		s.sites(*w)
+	})
+}
+
 func (s *shifts) sendAway(away bool) error {
 	s.mu.Lock()
 	was := !s.life.Yes()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"minttray/decide/site"
 	"minttray/decide/warm"
 	"minttray/policy"
 )
@@ -32,6 +33,8 @@
 	Out    []string             // out by an operator's word
 	Back   map[string]time.Time // were so until then, and have been cold since
 	Memory *warm.Memory         // what was learned; nil: nothing
+
+	Sites map[int]SiteWord // what operators said of whole zones
 }
 
 // Engine is the module's host. All fields below the queue belong to its goroutine.
@@ -57,7 +60,9 @@
 	servers map[uint32]*server
 	out     map[string]bool // caches out by an operator's word
 	back    map[string]policy.Time
-	left    map[string]policy.Time // caches that have gone, while the list does not name them: when they had started
+	sites   map[int]site.Hand[policy.Time] // operators' words on whole zones
+	turning bool                           // some caches have their turn ahead of them
+	left    map[string]policy.Time         // caches that have gone, while the list does not name them: when they had started
 }
 
 type server struct {
@@ -93,6 +98,7 @@
 	for _, name := range o.Out {
 		e.out[name] = true
 	}
+	e.sites = e.hands(o.Sites)
 	e.maxOps.Store(int64(o.MaxOps))
 	e.queue.wake = make(chan struct{}, 1)
 	e.ids = newIDs(longest(o.Settings))
@@ -354,7 +360,7 @@
 			e.leave(s)
 		}
 		// The list need not tell that a cache which was out has been restarted.
-		m.Out, m.Start = e.out[m.Name], max(m.Start, e.back[m.Name])
+		m.Out, m.Start = e.out[m.Name] || e.handed(&m), max(m.Start, e.back[m.Name])
 		entries = append(entries, m.Entry)
 		s := e.servers[m.ID]
 		if s != nil && (m.State == policy.Gone || s.member.Addr != m.Addr || s.start < m.Start) {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -461,7 +461,7 @@
 	}
 	next, _ := play(t, func(o *Options) { o.Memory = &given })
 	sum := func(e *Engine) (sent float64) {
-		e.Glance(func(policy.Counts) {})
+		e.Glance(func(policy.Counts, int) {})
 		done := make(chan struct{})
 		e.Do(func(e *Engine) {
 			for id := range e.servers {
--- a/internal/engine/out.go
+++ b/internal/engine/out.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"minttray/decide/site"
 	"minttray/decide/warm"
 	"minttray/policy"
 )
@@ -110,9 +111,17 @@
 	}
 }
 
-// Glance runs f on the engine's goroutine ahead of all that waits.
-func (e *Engine) Glance(f func(policy.Counts)) {
-	e.queue.putFirst(func() { f(e.module.Judged()) })
+// Glance runs f on the engine's goroutine ahead of all that waits; handed are the caches that are out with their site.
+func (e *Engine) Glance(f func(of policy.Counts, handed int)) {
+	e.queue.putFirst(func() {
+		handed := 0
+		for _, s := range e.servers {
+			if e.handed(&s.member) {
+				handed++
+			}
+		}
+		f(e.module.Judged(), handed)
+	})
 }
 
 // Out takes a cache out by its name, or lets it be used again. It comes back once nothing that is not written yet can go
@@ -155,13 +164,99 @@
 		}
 		return nil
 	}
-	if e.out[name] == out && s.member.Out == out {
-		return nil
-	}
 	if delete(e.out, name); out {
 		e.out[name] = true
-	} else {
-		e.back[name] = e.now
+	}
+	e.follow(s)
+	return nil
+}
+
+// ErrLast is the answer to an operator who would take the last caches out.
+var ErrLast = errors.New("no cache in use would be left")
+
+// Site takes all caches of a zone out, or back, as their turns come. It comes back once the first ones have followed.
+func (e *Engine) Site(zone int, w SiteWord, span time.Duration) error {
+	return e.ahead(span, func() error {
+		h := e.hands(map[int]SiteWord{zone: w})[zone]
+		known, left := false, false
+		for _, s := range e.servers {
+			m := &s.member
+			if m.Kind == e.Settings.OriginKind {
+				continue
+			}
+			known = known || m.Zone == zone
+			left = left || m.Zone != zone && m.State == policy.Ready && !m.Out && !e.sites[m.Zone].Out
+		}
+		if _, told := e.sites[zone]; !known && !told {
+			return ErrUnknown
+		} else if h.Out && !left {
+			return ErrLast
+		}
+		e.sites[zone] = h
+		e.turns()
+		return nil
+	})
+}
+
+// SetSites says of all zones at once what holds: the word of another process that serves for the same proxy.
+func (e *Engine) SetSites(all map[int]SiteWord, span time.Duration) error {
+	return e.ahead(span, func() error {
+		e.sites = e.hands(all)
+		e.turns()
+		return nil
+	})
+}
+
+// SiteWord is what an operator said of a whole zone: its caches go out, or come back, one after another over a span.
+type SiteWord struct {
+	Out  bool
+	At   time.Time
+	Over time.Duration
+}
+
+// hands are words in the engine's time.
+func (e *Engine) hands(all map[int]SiteWord) map[int]site.Hand[policy.Time] {
+	hands := map[int]site.Hand[policy.Time]{}
+	for zone, w := range all {
+		hands[zone] = site.Hand[policy.Time]{Out: w.Out, At: e.offset + policy.Time(w.At.Sub(e.origin)/unit), Over: policy.Time(w.Over / unit)}
+	}
+	return hands
+}
+
+const turnEvery = 250 // policy.Time between two looks at whose turn it is
+
+// turns has each cache follow the word on its site, and looks again while one has its turn ahead of it.
+func (e *Engine) turns() {
+	for _, id := range slices.Sorted(maps.Keys(e.servers)) { // the module is told in the same order each time
+		if s := e.servers[id]; s != nil {
+			e.follow(s)
+		}
+	}
+	for _, h := range e.sites {
+		if !h.Followed(e.now) && !e.turning {
+			e.turning = true
+			e.timers.set(e.now+turnEvery, func() {
+				e.turning = false
+				e.turns()
+			})
+		}
+	}
+}
+
+// handed tells whether a cache is out with its site.
+func (e *Engine) handed(m *Member) bool {
+	h, told := e.sites[m.Zone]
+	return told && m.Kind != e.Settings.OriginKind && h.Holds(m.ID, e.now)
+}
+
+// follow has a cache be out, or in use again, as operators have said of it or of its site.
+func (e *Engine) follow(s *server) {
+	out := e.out[s.member.Name] || e.handed(&s.member)
+	if s.member.Out == out {
+		return
+	}
+	if !out {
+		e.back[s.member.Name] = e.now
 		s.start = max(s.start, e.now)
 	}
 	s.member.Out = out
@@ -170,7 +265,7 @@
 	s.Retire()
 	s.Server = e.Connect(s.member)
 	if !out {
-		return nil
+		return
 	}
 	if s.unprobe != nil {
 		s.unprobe()
@@ -188,5 +283,4 @@
 			}
 		}
 	}
-	return nil
 }
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -20,6 +20,7 @@
 	Attempts                 *metrics.Counter // pushes written whole
 	ReloadsOK, ReloadsFailed *metrics.Counter
 	InFlight, Known, Out     atomic.Int64 // ops taken and not ended; caches in the list; those of them that are avoided
+	Sites, Handed            atomic.Int64 // sites that operators have taken out; caches out with them by now
 }
 
 // End is what became of an op.
@@ -53,7 +54,7 @@
 	b.ReloadsOK = b.set.NewCounter("svc_reloads_ok")
 	b.ReloadsFailed = b.set.NewCounter("svc_reloads_failed")
 	for name, of := range map[string]*atomic.Int64{"svc_in_flight": &b.InFlight, "svc_cache_nodes_known": &b.Known,
-		"svc_cache_nodes_excluded": &b.Out} {
+		"svc_cache_nodes_excluded": &b.Out, "svc_sites_out": &b.Sites, "svc_site_cache_nodes_out": &b.Handed} {
 		b.set.NewGauge(name, func() float64 { return float64(of.Load()) })
 	}
 	return b
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -36,9 +36,23 @@
 	Out  []string `json:"out"`  // caches, by id
 	Away bool     `json:"away"` // clients are sent away
 
-	Back map[string]time.Time `json:"back,omitempty"` // caches that were out, and when they were called back
+	Sites map[string]Site      `json:"sites,omitempty"` // by name: the last word on each
+	Back  map[string]time.Time `json:"back,omitempty"`  // caches that were out, and when they were called back
 }
 
+// Site is what operators said of a whole site: its caches go out, or come back, one after another over a span.
+type Site struct {
+	Out  bool          `json:"out"`
+	At   time.Time     `json:"at"`
+	Over time.Duration `json:"over"` // nanoseconds
+}
+
+// LongestOver is how long a site may take to go or come.
+const LongestOver = time.Hour
+
+// mostSites is how many words on sites are kept.
+const mostSites = 64
+
 const backFor = 10 * time.Minute // longer than any cache is cold
 
 type file struct {
@@ -72,6 +86,11 @@
 // Read gives the word. None was ever said: the empty word. An error means that what stands there is not to be used.
 func (s *Store) Read() (Word, error) {
 	s.seen = s.stamp()
+	return s.Peek()
+}
+
+// Peek gives the word as Read does, and leaves it for Changed to tell of.
+func (s *Store) Peek() (Word, error) {
 	var w Word
 	if err := read(s.path, s.proxy, longest, &w); errors.Is(err, fs.ErrNotExist) {
 		return Word{}, nil
@@ -81,6 +100,11 @@
 	if len(w.Out) > mostOut {
 		return Word{}, fmt.Errorf("state: word.out: %d caches, at most %d", len(w.Out), mostOut)
 	}
+	for name, site := range w.Sites {
+		if len(w.Sites) > mostSites || site.Over < 0 || site.Over > LongestOver {
+			return Word{}, fmt.Errorf("state: word.sites: %d of them, %q over %v", len(w.Sites), name, site.Over)
+		}
+	}
 	return w, nil
 }
 
@@ -136,6 +160,10 @@
 	do(&w)
 	slices.Sort(w.Out)
 	maps.DeleteFunc(w.Back, func(_ string, at time.Time) bool { return time.Since(at) > backFor })
+	maps.DeleteFunc(w.Sites, func(_ string, s Site) bool { return !s.Out && time.Since(s.At) > s.Over+backFor })
+	if len(w.Sites) > mostSites {
+		return fmt.Errorf("more than %d sites", mostSites)
+	}
 	if w.Out = slices.Compact(w.Out); len(w.Out) > mostOut {
 		return fmt.Errorf("more than %d caches out", mostOut)
 	}
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -24,7 +24,7 @@
 	if !a.Changed() {
 		t.Error("a change is not seen")
 	}
-	if w, err := a.Read(); err != nil || fmt.Sprint(w) != "{[s-1 s-2] true map[]}" || a.Changed() {
+	if w, err := a.Read(); err != nil || fmt.Sprint(w) != "{[s-1 s-2] true map[] map[]}" || a.Changed() {
 		t.Errorf("%+v %v", w, err)
 	}
 	if w, _ := Open(dir, "n1", "127.0.0.1:2").Read(); len(w.Out) > 0 {
@@ -136,3 +136,30 @@
 		t.Error("what was given to another is taken")
 	}
 }
+
+// Words on sites outlive their process as long as they can matter, and one that can't be meant is refused.
+func TestWordsOnSites(t *testing.T) {
+	dir := t.TempDir()
+	s, ago := Open(dir, "n1", "127.0.0.1:1"), time.Now().Add(-backFor-2*time.Second)
+	put := func(name string, w Site) {
+		if err := s.Change(func(all *Word) {
+			if all.Sites == nil {
+				all.Sites = map[string]Site{}
+			}
+			all.Sites[name] = w
+		}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put("out", Site{Out: true, At: ago, Over: time.Second})
+	put("back", Site{At: time.Now(), Over: time.Second})
+	put("long ago", Site{At: ago, Over: time.Second})
+	w, err := s.Read()
+	if err != nil || len(w.Sites) != 2 || !w.Sites["out"].Out || w.Sites["back"].Over != time.Second {
+		t.Errorf("%+v %v", w, err)
+	}
+	put("long", Site{Out: true, Over: 2 * LongestOver})
+	if w, err := s.Read(); err == nil || len(w.Sites) > 0 {
+		t.Errorf("%+v %v", w, err)
+	}
+}
--- a/lab/run/sites_test.go
+++ b/lab/run/sites_test.go
@@ -11,7 +11,7 @@
 // The verdict hangs on counts alone: every try has one end, no rule is broken, whatever was asked of the lab was done.
 func TestSites(t *testing.T) {
 	daemon := build(t, "minttray")
-	for _, name := range []string{"site-lost", "site-cut", "site-cut-ways", "site-flaps", "two-sites", "stalls"} {
+	for _, name := range []string{"site-lost", "site-cut", "site-cut-ways", "site-flaps", "two-sites", "site-by-hand", "stalls"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			x, err := experiment.Read("../../experiments/" + name + "-short.toml")
@@ -33,6 +33,9 @@
 			if sum < v.Ops || sum > v.Ops+v.Stalled { // one that stood still may have answered all the same
 				t.Errorf("%d tries, %d ends: %+v", v.Ops, sum, v)
 			}
+			if n := r.Vars; name == "site-by-hand" && (n["svc_sites_out"] != 0 || n["svc_site_cache_nodes_out"] != 0 || n["unanswered"] != 0 || v.Killed > 0) {
+				t.Errorf("%v, %d held by processes that ended", n, v.Killed)
+			}
 			if name == "stalls" && v.Stalled == 0 {
 				t.Error("nobody was asked while it stood still")
 			}
