A cut-off site is told from all others together; an origin not reached is no short one

(2) Two to three seconds after the cut 1,600 ops a second were still refused as origin_short and too_late: failed connects had cut each proxy's pace at the origin to its least. Excluded: an origin that is short (it answered 1,100 a second before and after, 600 during); caches cold at the return (their bound let all in); one more proxy's limits (no_room is 2 to 3%). Change: decide/fleet.Sites counts silence of all other sites together, eight in a row; a connect that fails at the origin rests it for a target latency at most and leaves its pace; a connection that costs more to hold until the usual next push than to make anew is closed at once. Lines at fault: route, learn, tick.

--- a/cmd/mintlab/main.go
+++ b/cmd/mintlab/main.go
@@ -80,7 +80,7 @@
 func runCommand() *cobra.Command {
 	var out, proxy, rules, sweep string
 	var seeds []uint
-	var repeat int
+	var repeat, drawn, drawnFrom int
 	var set []string
 	var quiet bool
 	c := &cobra.Command{Use: "run FILE...", Short: "Plays experiments.", Args: cobra.MinimumNArgs(1),
@@ -101,6 +101,7 @@
 				path, rule, variant string
 				seed                uint64
 				x                   *experiment.File
+				drawn               uint64 // the seed of its timeline; 0: its file's own
 			}
 			var jobs []job
 			for _, path := range paths {
@@ -128,7 +129,17 @@
 							for n := range repeat {
 								copied := *x
 								copied.Seed = s + uint64(n)
-								jobs = append(jobs, job{path, rule, variant, s + uint64(n), &copied})
+								jobs = append(jobs, job{path, rule, variant, s + uint64(n), &copied, 0})
+								for k := range drawn {
+									if k > 0 {
+										jobs = append(jobs, jobs[len(jobs)-1])
+										again := copied
+										jobs[len(jobs)-1].x = &again
+									}
+									last := &jobs[len(jobs)-1]
+									last.drawn = uint64(drawnFrom + k)
+									last.x.Draw(last.drawn)
+								}
 							}
 						}
 					}
@@ -142,6 +153,10 @@
 					name += "-" + strings.NewReplacer("/", "_", " ", "").Replace(key+"="+j.variant)
 					j.x.Name += " " + key + "=" + j.variant
 				}
+				if j.drawn > 0 {
+					name += fmt.Sprintf("-drawn-%d", j.drawn)
+					j.x.Name += fmt.Sprintf(" drawn %d", j.drawn)
+				}
 				o := run.Options{Dir: filepath.Join(out, name), Command: []string{proxy}, Rule: j.rule, Stop: stop}
 				if j.rule != "minttray" {
 					o.Command = []string{filepath.Join(filepath.Dir(proxy), "mintbase")}
@@ -159,6 +174,9 @@
 				}
 				all = append(all, r)
 				fmt.Fprintf(cmd.OutOrStdout(), "%sreport: %s\n\n", r.Summary(), filepath.Join(o.Dir, "report.html"))
+				if j.drawn > 0 && r.Status() == broken {
+					fmt.Fprintf(cmd.OutOrStdout(), "again: mintlab run %s --seeds %d --drawn 1 --drawn-from %d\n\n", j.path, j.seed, j.drawn)
+				}
 				if s := r.Status(); s == broken || s > worst && worst != broken {
 					worst = s
 				}
@@ -183,6 +201,8 @@
 	c.Flags().IntVar(&repeat, "repeat", 1, "runs for each seed, each with the next seed")
 	c.Flags().StringVar(&sweep, "sweep", "", "key=a,b,c: a run for each value, such as load.rate=500,1000")
 	c.Flags().StringArrayVar(&set, "set", nil, "key=value in place of what the file says; may be repeated")
+	c.Flags().IntVar(&drawn, "drawn", 0, "so many runs, each with a timeline drawn from a seed of its own in place of the file's")
+	c.Flags().IntVar(&drawnFrom, "drawn-from", 1, "the first of those seeds")
 	c.Flags().BoolVar(&quiet, "quiet", false, "no progress")
 	return c
 }
--- a/decide/fleet/fleet.go
+++ b/decide/fleet/fleet.go
@@ -55,11 +55,13 @@
 	row int
 }
 
-const inARow = 4 // failures, with no answer from any server of the group between them, that are not chance
+// Failures, with no answer from any server of the group between them, that are not chance: of servers in one place, and of
+// all in other places together, of which a good part may be failing while the way there is whole.
+const inARow, ofAllOthers = 4, 8
 
-// Silent books a push that the group left unanswered. The doubt that follows lasts for the span at first, and up to four
-// times as long; then one more push is enough to renew it.
-func (s *Silence[T]) Silent(now, span T) {
+// Silent books a push that the group left unanswered. The doubt that follows so many in a row lasts for the span at first, and
+// up to four times as long; then one more push is enough to renew it.
+func (s *Silence[T]) Silent(now, span T, inARow int) {
 	if s.row++; s.row >= inARow {
 		s.Begin(now, span)
 	}
@@ -67,3 +69,40 @@
 
 // Heard books any answer, also one that turns a push away.
 func (s *Silence[T]) Heard() { *s = Silence[T]{} }
+
+// Sites is what silence says of many sites at an instance in one of them. A site that is lost is silent for itself; where the
+// own one is cut off, all others are at once: pushes go to each in turn, and each alone would take many more to tell.
+type Sites[T ~int64] struct {
+	Own    int
+	by     map[int]*Silence[T]
+	others Silence[T]
+}
+
+func (s *Sites[T]) of(site int) *Silence[T] {
+	if s.by == nil {
+		s.by = map[int]*Silence[T]{}
+	}
+	if s.by[site] == nil {
+		s.by[site] = &Silence[T]{}
+	}
+	return s.by[site]
+}
+
+// Silent books a push that a site left unanswered.
+func (s *Sites[T]) Silent(site int, now, span T) {
+	if s.of(site).Silent(now, span, inARow); site != s.Own {
+		s.others.Silent(now, span, ofAllOthers)
+	}
+}
+
+// Heard books any answer from a site.
+func (s *Sites[T]) Heard(site int) {
+	if s.of(site).Heard(); site != s.Own {
+		s.others.Heard()
+	}
+}
+
+// Stands tells whether a site is to be passed over now.
+func (s *Sites[T]) Stands(site int, now T) bool {
+	return s.of(site).Stands(now) || site != s.Own && s.others.Stands(now)
+}
--- a/decide/fleet/fleet_test.go
+++ b/decide/fleet/fleet_test.go
@@ -66,15 +66,41 @@
 		if s.Stands(at) {
 			t.Fatalf("silent after %d", i)
 		}
-		s.Silent(at, 10)
+		s.Silent(at, 10, inARow)
 	}
 	if !s.Stands(at) || s.Stands(at+10) {
 		t.Error("failures in a row are not heard")
 	}
-	if s.Silent(at+10, 10); !s.Stands(at + 29) {
+	if s.Silent(at+10, 10, inARow); !s.Stands(at + 29) {
 		t.Error("one more does not renew it for longer")
 	}
 	if s.Heard(); s.Stands(at + 11) {
 		t.Error("an answer does not end it")
 	}
 }
+
+// The own site cut off is told from all others together, long before each of them has failed often enough by itself; a lost one
+// among others that answer is told alone, and what is heard of the own says nothing of the rest.
+func TestSites(t *testing.T) {
+	s, pushes := Sites[int64]{Own: 0}, 0
+	for ; !s.Stands(4, 0) && pushes < 100; pushes++ {
+		s.Heard(0)
+		s.Silent(1+pushes%5, 0, 10)
+	}
+	if pushes != ofAllOthers || s.Stands(0, 0) || !s.Stands(9, 0) {
+		t.Errorf("told after %d pushes to five other sites", pushes)
+	}
+	if s.Heard(3); s.Stands(4, 0) {
+		t.Error("an answer from one of them does not end it")
+	}
+	s = Sites[int64]{Own: 0}
+	for i := range 40 {
+		s.Silent(1, int64(i), 10)
+		if i%3 == 0 {
+			s.Heard(2)
+		}
+	}
+	if !s.Stands(1, 41) || s.Stands(2, 41) || s.Stands(0, 41) {
+		t.Error("a lost site is not told alone")
+	}
+}
--- a/lab/experiment/experiment_test.go
+++ b/lab/experiment/experiment_test.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -42,3 +43,31 @@
 		t.Error("an unknown field was taken")
 	}
 }
+
+// Drawn timelines are good experiments, the same from the same seed, and over in time for what follows them to be seen.
+func TestDrawnTimelines(t *testing.T) {
+	kinds := map[string]bool{}
+	for seed := uint64(1); seed <= 200; seed++ {
+		x, err := Read("../../experiments/site-lost-short.toml")
+		if err != nil {
+			t.Fatal(err)
+		}
+		y := *x
+		x.Draw(seed)
+		y.Draw(seed)
+		if !reflect.DeepEqual(x.Fault, y.Fault) || len(x.Fault) < 2 {
+			t.Fatalf("%d: %+v and %+v", seed, x.Fault, y.Fault)
+		}
+		if err := x.check(); err != nil {
+			t.Errorf("%d: %v", seed, err)
+		}
+		for _, f := range x.Fault {
+			if kinds[f.Kind] = true; f.At+f.For > x.Length*3/4 {
+				t.Errorf("%d: %+v", seed, f)
+			}
+		}
+	}
+	if len(kinds) < 10 {
+		t.Errorf("%v", kinds)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,20 +25,18 @@
 )
 
 const (
-	slack, spareSeats    = 4, 256              // s0 of the design; seats to it, at least: a fleet grows
-	candidates, doubts   = 3, 2                // caches a key may go to; pushes for which one is passed over
-	quarters             = evidence.Quarters   // four of the cold window, and the one begun
-	coldMargin, missWork = 0.7, 1.0 / 3        // of the cold budget, the rest is for bunches; of an answer
-	firstLimit           = 12                  // in flight to a cache from all proxies, nothing learned yet
-	leastTokens          = 4                   // a share split among many proxies must still fill to whole ops
-	mostNews             = 32 * 8              // bytes in one message
-	strainUp, strainDown = 1.0 / 16, 1.0 / 128 // what a failure adds to strain, what an answer takes off it
-	calm                 = 1.0 / 10            // strain that chance alone may bring
-	againShare           = 1.0 / 4             // of what is answered: tries that may come again
-	mostAgain            = 16                  // of them at once
-	extraWorth           = 1.0 / 256           // of what ops bring: most for looking around; a copy's worth
-	leastChance          = 1.0 / 8             // of an answer in time: with less, an op is given up at once
-	fullLength           = 8                   // one push of so many is waited for in full all the same
+	slack, spareSeats     = 4, 256              // s0 of the design; seats to it, at least: a fleet grows
+	candidates, doubts    = 3, 2                // caches a key may go to; pushes for which one is passed over
+	quarters              = evidence.Quarters   // four of the cold window, and the one begun
+	coldMargin, missWork  = 0.7, 1.0 / 3        // of the cold budget, the rest is for bunches; of an answer
+	firstLimit            = 12                  // in flight to a cache from all proxies, nothing learned yet
+	leastTokens, mostNews = 4, 32 * 8           // a share split among many still fills; bytes in a message
+	strainUp, strainDown  = 1.0 / 16, 1.0 / 128 // what a failure adds to strain, what an answer takes off it
+	calm                  = 1.0 / 10            // strain that chance alone may bring
+	againShare, mostAgain = 1.0 / 4, 16         // of answers: tries that may come again; at once
+	extraWorth            = 1.0 / 256           // of what ops bring: most for looking around; a copy's worth
+	leastChance           = 1.0 / 8             // of an answer in time: with less, an op is given up at once
+	fullLength            = 8                   // one push of so many is waited for in full all the same
 
 	tokenTick, tokenWatch, tokenOp, tokenProbe = 0, 1, 2, 1 << 32 // and up: the op's id; the cache's
 )
@@ -74,11 +72,7 @@
 	ran                *push // the first push that may have run
 }
 
-// zone is a location of caches, and the way there.
-type zone struct {
-	fleet.Silence[Time]
-	evidence.Way[Time]
-}
+type zone = evidence.Way[Time] // to a location of caches
 
 type push struct {
 	n     int
@@ -114,8 +108,9 @@
 	gate           shortage.Gate       // shut as far as the fleet is short as a whole
 	back           pace.Back           // to the pace that the origin took before it was short
 	zones          map[int]*zone
-	near           bool // caches of the own zone come first
-	learned             // that a process which follows may go by
+	sites          fleet.Sites[Time] // lost, or cut off
+	near           bool              // caches of the own zone come first
+	learned                          // that a process which follows may go by
 
 	row, gap                        float64 // halved by each failed fetch in a row; usual span between pushes
 	benefit, heaviest, sizes, first float64 // the highest; size; their sum; limit with nothing learned
@@ -131,6 +126,7 @@
 func New(s Settings, seed uint64, h Host) *Balancer {
 	b := &Balancer{host: h, rnd: chance.PCG{State: seed}, caches: map[uint32]*cache{}, ops: map[uint32]*op{},
 		zones: map[int]*zone{}, learned: nothing(), rolled: h.Now(), last: h.Now(), row: 1}
+	b.sites.Own = s.Zone
 	if b.Retune(s); !s.Aside {
 		b.shadow = &cache{shared: true}
 	}
@@ -387,7 +383,7 @@
 		c := choices[i]
 		mean := float64(total) * c.size / b.sizes // in proportion to its size
 		// It, or all of its zone, lately failed this proxy; few proxies each see enough to go by limits.
-		doubt := b.Proxies > firstLimit && (c.doubt.Stands(now) || b.zones[c.Zone].Stands(now)) ||
+		doubt := b.Proxies > firstLimit && (c.doubt.Stands(now) || b.sites.Stands(c.Zone, now)) ||
 			b.rnd.Share() < c.shun && (b.shadow == nil || b.room(b.shadow, o))
 		if doubt || b.far(o, c, now) || spare && b.crowded(c, now) > 0 { // else a pass is a miss in vain
 			most = min(most+1, 3*candidates)
@@ -488,11 +484,12 @@
 // room tells whether a cache's learned limit lets one more push in. Where even one push from every proxy is
 // too much, a limit under one paces: caches that go on with work that nobody waits for would stay jammed.
 func (b *Balancer) room(c *cache, o *op) bool {
-	limit, idle := c.Limit, float64(b.host.Now()-c.sentAt)
+	limit, now := c.Limit, b.host.Now()
 	if c != b.origin { // what has no room there would be held in the queue with nothing out
 		limit *= o.lane * (1 - min(max((b.strain-calm)/(1-o.beyond)-0.25, 0), 1))
 	}
-	return float64(c.out) < limit && (limit >= 1 || idle > float64(b.shortest)/4*(1/limit-1))
+	return float64(c.out) < limit && now >= c.restUntil &&
+		(limit >= 1 || float64(now-c.sentAt) > float64(b.shortest)/4*(1/limit-1))
 }
 
 // mayFetch tells whether a cache may have to ask the origin: only such ops wait while that is slow.
@@ -520,7 +517,7 @@
 	}
 	span := float64(b.usually(b.origin))
 	wait := float64(b.way(b.origin)) + span*(1+float64(len(b.queue))/b.origin.Limit/(1-0.75*o.beyond))
-	if b.host.Now()+Time(wait) > o.aim && len(b.queue) > 0 {
+	if now := b.host.Now(); now+Time(wait) > o.aim && len(b.queue) > 0 || now < b.origin.restUntil {
 		b.elsewhere(o, OriginShort)
 		return
 	}
@@ -626,9 +623,9 @@
 		b.failed = now
 	}
 	if c != b.origin && (how == ConnectFailed || how == TimedOut && ill >= 0.5) {
-		z.Silent(now, 4*b.shortest)
+		b.sites.Silent(c.Zone, now, 4*b.shortest)
 	} else if c != b.origin && how != TimedOut && how != Cancelled && how != Moot {
-		z.Heard()
+		b.sites.Heard(c.Zone)
 	}
 	if c != b.origin && (how == ConnectFailed || how != Broken && ill >= 0.25) {
 		b.suspect(c)
@@ -653,10 +650,9 @@
 	if p.full && c != b.origin && (good > 0 || how == TimedOut) {
 		b.waited, b.silent = b.waited+1, b.silent+ill
 	}
-	if how == Miss { // Danger: counted in full, where most miss, cold caches were sent too many that hit
-		c.Done[0] += missWork
-	}
-	if how == Acked {
+	if how == Miss {
+		c.Done[0] += missWork // Danger: counted in full, where most miss, cold caches were sent too many that hit
+	} else if how == Acked {
 		c.Done[0]++
 		o.tenant.again.Earn(againShare, mostAgain)
 		// To hundreds few are worth it; one that looks like an id would be taken for a failing cache.
@@ -786,7 +782,11 @@
 			b.suspend(c, now)
 		}
 	case ConnectFailed:
-		b.cut(c, now, 0.7)
+		if c == b.origin { // Danger: taken for short, one beyond a cut way would be left at its least pace after.
+			c.rest = 0 // and there is no other to ask meanwhile
+		} else {
+			b.cut(c, now, 0.7)
+		}
 		b.suspend(c, now)
 	}
 }
@@ -904,9 +904,9 @@
 	}
 	// Old evidence fades with time as well: a proxy that pushes little would else never hear that it is wrong.
 	fade := float64(4*b.Tick) / float64(4*b.target)
-	// A connection that costs more to hold until the fleet's next op there than to make anew is closed: else
-	// hundreds of proxies fill the caches' tables, and connecting fails as if the caches were gone.
-	idle := b.HandshakePrice / b.ConnPrice * 100 * float64(len(b.ranks)) * b.gap / float64(b.Proxies)
+	// A connection that costs more to hold until the next push there than to make anew is closed at once: else
+	// hundreds of proxies fill the caches' tables, and pay for waits that mostly end in a new one all the same.
+	idle := math.Floor(b.HandshakePrice/b.ConnPrice*100/float64(b.Proxies)) * float64(len(b.ranks)) * b.gap
 	b.Counts.Listed, b.Counts.Avoided = len(b.ranks), 0
 	for _, c := range b.ranks { // without prices idle is no number, and nothing is closed
 		if c.shun -= c.shun * fade; c.Out || now < c.restUntil {
