Refused first, live: the gate refuses by the ladder of the plan

Need: as the fleet is short the gate refused all ops alike; the plan says beyond a tenant's share first, then the category of least benefit.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,6 +22,7 @@
 	"minttray/decide/fleet"
 	"minttray/decide/pace"
 	"minttray/decide/shortage"
+	"minttray/decide/site"
 )
 
 const (
@@ -106,6 +107,7 @@
 	asking         fleet.Backoff[Time] // for the list
 	all            cache               // what all caches did, taken together
 	gate           shortage.Gate       // shut as far as the fleet is short as a whole
+	ladder         site.Live           // which ops are refused first then
 	back           pace.Back           // to the pace that the origin took before it was short
 	zones          map[int]*zone
 	sites          fleet.Sites[Time] // lost, or cut off
@@ -259,6 +261,7 @@
 	if t.tokens--; t.tokens < 0 {
 		t.tokens, o.beyond = t.tokens+1, 1-b.BeyondBenefit
 	}
+	b.ladder.Asked(category, o.beyond > 0, cat.Benefit*(1-o.beyond))
 	// Tries beyond the budget, and ops that hardly any answer reaches in time, take only what others leave.
 	over, chance := again && !t.again.Again(), 1.0
 	if b.all.span.Enough() {
@@ -277,7 +280,8 @@
 		b.giveUp(o, NoChance)
 	} else if over && b.strain > calm {
 		b.giveUp(o, PastBudget)
-	} else if share := b.gate.Share(); share < 1 && b.rnd.Share() > share {
+	} else if share := b.gate.Share(); share < 1 &&
+		b.rnd.Share() > b.ladder.Pass(category, o.beyond > 0, share) {
 		b.gate.Refused()
 		b.giveUp(o, FleetShort)
 	} else if b.Aside && write {
@@ -493,9 +497,7 @@
 }
 
 // mayFetch tells whether a cache may have to ask the origin: only such ops wait while that is slow.
-func (b *Balancer) mayFetch(o *op) bool {
-	return b.shadow != nil && (o.write || !b.kept.Has(o.key))
-}
+func (b *Balancer) mayFetch(o *op) bool { return b.shadow != nil && (o.write || !b.kept.Has(o.key)) }
 
 // elsewhere asks a copy in another zone before an op is given up for want of an origin beyond a slow way, or
 // one not heard of. An origin that is short is no reason: what missed here mostly misses there.
@@ -834,9 +836,7 @@
 }
 
 // StreamBegan: the answer is with the client; its outcome will be terminal.
-func (b *Balancer) StreamBegan(id uint32) {
-	cmp.Or(b.ops[id], &op{}).most = 0
-}
+func (b *Balancer) StreamBegan(id uint32) { cmp.Or(b.ops[id], &op{}).most = 0 }
 
 func (b *Balancer) ClientLeft(id uint32) {
 	if o := b.ops[id]; o != nil {
