Connections are closed at once only where they would mostly end unused; planted faults in the lab

Cause: at 80 proxies the two cost nearly alike (0.83 of the usual span between two pushes), and a handshake also takes its cache's work and its op's time, which no price says. Change: closed at once where holding pays for less than half of that span; else as before.

--- a/lab/run/sites_test.go
+++ b/lab/run/sites_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"minttray/lab/experiment"
+	"minttray/lab/ledger"
 )
 
 // Sites that are lost, cut off, come back and are lost again, and processes that stand still: six real daemons over three sites.
@@ -47,3 +48,38 @@
 		})
 	}
 }
+
+// Planted faults: a rule that gives a returned site its seats back at once, so that all proxies together push its cold caches
+// over; one that sends an at-most-once op on to another site as the first falls silent. Both are found, and the module, told the
+// same terms on the same day, does neither.
+func TestPlantedFaults(t *testing.T) {
+	daemon := build(t, "minttray")
+	for name, c := range map[string]struct {
+		rule, breaks, file string
+		set                []string
+	}{
+		"seats at once": {"rendezvous", ledger.PushedIn, "site-lost-short", []string{"caches.cold_from=0.05", "caches.warm_up=8s", "rules.fall_multiple=1", "load.rate=900"}},
+		"sent on":       {"reckless", ledger.Copies, "site-cut-short", []string{"caches.mode=\"through\"", "rules.two_at_once=true"}},
+	} {
+		for _, rule := range []string{c.rule, "minttray"} {
+			t.Run(name+", "+rule, func(t *testing.T) {
+				t.Parallel()
+				x, err := experiment.Read("../../experiments/"+c.file+".toml", c.set...)
+				if err != nil {
+					t.Fatal(err)
+				}
+				o := Options{Dir: t.TempDir(), Command: []string{daemon}, Rule: rule, Stop: make(chan struct{})}
+				if rule != "minttray" {
+					o.Command, o.Env = []string{build(t, "mintbase")}, []string{"MINTBASE_RULE=" + rule}
+				}
+				r, err := Play(x, o)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if rule == "minttray" && !r.Verdict.Kept() || rule != "minttray" && r.Verdict.Broken[c.breaks] == 0 {
+					t.Errorf("%s", r.Summary())
+				}
+			})
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -904,9 +904,9 @@
 	}
 	// Old evidence fades with time as well: a proxy that pushes little would else never hear that it is wrong.
 	fade := float64(4*b.Tick) / float64(4*b.target)
-	// A connection that costs more to hold until the next push there than to make anew is closed at once: else
-	// hundreds of proxies fill the caches' tables, and pay for waits that mostly end in a new one all the same.
-	idle := math.Floor(b.HandshakePrice/b.ConnPrice*100/float64(b.Proxies)) * float64(len(b.ranks)) * b.gap
+	// Danger: hundreds of proxies fill the caches' tables with connections that mostly end unused all the same.
+	idle := b.HandshakePrice / b.ConnPrice * 100 / float64(b.Proxies)  // in usual spans between pushes there
+	idle *= min(math.Floor(2*idle), 1) * float64(len(b.ranks)) * b.gap // none, if they end before half of one
 	b.Counts.Listed, b.Counts.Avoided = len(b.ranks), 0
 	for _, c := range b.ranks { // without prices idle is no number, and nothing is closed
 		if c.shun -= c.shun * fade; c.Out || now < c.restUntil {
