--- a/decide/fleet/fleet.go
+++ b/decide/fleet/fleet.go
@@ -3,6 +3,8 @@
 // unit, and what is drawn from them is the caller's.
 package fleet
 
+import "minttray/decide/circle"
+
 // Turn is when one instance of n makes its first call to a service that all share, from its number: the span is cut
 // into n turns, and the call falls somewhere in its own. All that start together so call evenly, never in a burst. A
 // number outside 0 to n-1 gets a turn all the same.
@@ -71,38 +73,67 @@
 func (s *Silence[T]) Heard() { *s = Silence[T]{} }
 
 // Sites is what silence says of many sites at an instance in one of them. A site that is lost is silent for itself; where the
-// own one is cut off, all others are at once: pushes go to each in turn, and each alone would take many more to tell.
+// own one is cut off, all others are at once: pushes go to each in turn, and each alone would take many more to tell. A site
+// that comes back is used at once; one that was lost again shortly after gets its keys back over a while, twice as long each time.
 type Sites[T ~int64] struct {
 	Own    int
-	by     map[int]*Silence[T]
+	by     map[int]*place[T]
 	others Silence[T]
 }
 
-func (s *Sites[T]) of(site int) *Silence[T] {
+type place[T ~int64] struct {
+	Silence[T]
+	unit   T   // the span of its doubt
+	losses int // one shortly after the other
+	back   T   // when it was heard again
+	over   T   // from then until all its keys are back
+}
+
+const (
+	spread   = 1 << 20 // a salt that places no key
+	mostOver = 8       // units, that a return takes
+	forgiven = 64      // units after a return: a loss then is the first again
+)
+
+func (s *Sites[T]) of(site int) *place[T] {
 	if s.by == nil {
-		s.by = map[int]*Silence[T]{}
+		s.by = map[int]*place[T]{}
 	}
 	if s.by[site] == nil {
-		s.by[site] = &Silence[T]{}
+		s.by[site] = &place[T]{}
 	}
 	return s.by[site]
 }
 
 // Silent books a push that a site left unanswered.
 func (s *Sites[T]) Silent(site int, now, span T) {
-	if s.of(site).Silent(now, span, inARow); site != s.Own {
+	p := s.of(site)
+	if p.unit = span; p.losses > 0 && now >= p.back+forgiven*p.unit {
+		p.losses = 0
+	}
+	if p.Silent(now, span, inARow); site != s.Own {
 		s.others.Silent(now, span, ofAllOthers)
 	}
 }
 
 // Heard books any answer from a site.
-func (s *Sites[T]) Heard(site int) {
-	if s.of(site).Heard(); site != s.Own {
+func (s *Sites[T]) Heard(site int, now T) {
+	p := s.of(site)
+	if p.row >= inARow {
+		p.losses++
+		p.back, p.over = now, min(T(1)<<min(p.losses-1, 16), mostOver)*p.unit
+		if p.losses == 1 {
+			p.over = 0
+		}
+	}
+	if p.Heard(); site != s.Own {
 		s.others.Heard()
 	}
 }
 
-// Stands tells whether a site is to be passed over now.
-func (s *Sites[T]) Stands(site int, now T) bool {
-	return s.of(site).Stands(now) || site != s.Own && s.others.Stands(now)
+// Stands tells whether a site is to be passed over now for a key, by its hash: the same keys come back first at every instance.
+func (s *Sites[T]) Stands(site int, key uint64, now T) bool {
+	p := s.of(site)
+	return p.Stands(now) || site != s.Own && s.others.Stands(now) ||
+		now < p.back+p.over && float64(circle.Mix(key, spread)>>11)/(1<<53) >= float64(now-p.back)/float64(p.over)
 }
--- a/decide/fleet/fleet_test.go
+++ b/decide/fleet/fleet_test.go
@@ -83,24 +83,66 @@
 // among others that answer is told alone, and what is heard of the own says nothing of the rest.
 func TestSites(t *testing.T) {
 	s, pushes := Sites[int64]{Own: 0}, 0
-	for ; !s.Stands(4, 0) && pushes < 100; pushes++ {
-		s.Heard(0)
+	for ; !s.Stands(4, 0, 0) && pushes < 100; pushes++ {
+		s.Heard(0, 0)
 		s.Silent(1+pushes%5, 0, 10)
 	}
-	if pushes != ofAllOthers || s.Stands(0, 0) || !s.Stands(9, 0) {
+	if pushes != ofAllOthers || s.Stands(0, 0, 0) || !s.Stands(9, 0, 0) {
 		t.Errorf("told after %d pushes to five other sites", pushes)
 	}
-	if s.Heard(3); s.Stands(4, 0) {
+	if s.Heard(3, 0); s.Stands(4, 0, 0) {
 		t.Error("an answer from one of them does not end it")
 	}
 	s = Sites[int64]{Own: 0}
 	for i := range 40 {
 		s.Silent(1, int64(i), 10)
 		if i%3 == 0 {
-			s.Heard(2)
+			s.Heard(2, int64(i))
 		}
 	}
-	if !s.Stands(1, 41) || s.Stands(2, 41) || s.Stands(0, 41) {
+	if !s.Stands(1, 0, 41) || s.Stands(2, 0, 41) || s.Stands(0, 0, 41) {
 		t.Error("a lost site is not told alone")
 	}
 }
+
+// A site that flaps has its keys back more slowly each time, up to a bound, none of them lost again on the way; after a while
+// without a loss it is forgiven.
+func TestAFlappingSiteReturnsMoreSlowly(t *testing.T) {
+	const unit = 100
+	var s Sites[int64]
+	now := int64(0)
+	lose := func() {
+		for range inARow {
+			now++
+			s.Silent(1, now, unit)
+		}
+		now += unit
+		s.Heard(1, now)
+	}
+	over := func() (took int64) {
+		passed := 100
+		for at := now; ; at++ {
+			n := 0
+			for key := range uint64(100) {
+				if s.Stands(1, key, at) {
+					n++
+				}
+			}
+			if n > passed {
+				t.Fatalf("%d keys go away again at %d", n-passed, at)
+			}
+			if passed = n; n == 0 {
+				return at - now
+			}
+		}
+	}
+	for i, want := range []int64{0, 2, 4, 8, 8} {
+		if lose(); over() < want*unit*9/10 || over() > want*unit {
+			t.Errorf("return %d takes %d, wanted %d", i+1, over(), want*unit)
+		}
+	}
+	now += forgiven * unit
+	if lose(); over() != 0 {
+		t.Error("it is not forgiven")
+	}
+}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -439,6 +439,45 @@
 	}
 }
 
+// A site is out for new caches too, whatever the list says; the last one can't be taken out; a word of before holds from the start.
+func TestASiteIsOutWhole(t *testing.T) {
+	in := func(id uint32, zone int) Member {
+		m := member(id, policy.Ready)
+		m.Zone = zone
+		return m
+	}
+	e, s := play(t, func(o *Options) { o.Sites = map[int]SiteWord{1: {Out: true, At: time.Now()}} })
+	list := func(members ...Member) { e.List(policy.ListFull, append(members, in(9, 1))) }
+	list(in(1, 0), in(2, 1))
+	ask := func(from int, id, want string) int {
+		e.Submit(s.op(id, 0))
+		at := s.await(from, "push cache")
+		if got := s.cache(at); got != want {
+			t.Errorf("%s goes to %s, not %s", id, got, want)
+		}
+		s.answer(at, Result{Outcome: policy.Acked, Value: []byte("v")})
+		return s.await(at, "acked "+id)
+	}
+	at := ask(0, "a", "cache1")
+	if err := e.Site(0, SiteWord{Out: true, At: time.Now()}, patience); err != ErrLast {
+		t.Errorf("the last site: %v", err)
+	}
+	if err := e.Site(7, SiteWord{Out: true, At: time.Now()}, patience); err != ErrUnknown {
+		t.Errorf("a site that is not there: %v", err)
+	}
+	list(in(1, 0), in(2, 1), in(3, 1))
+	for i := range 10 {
+		at = ask(at, fmt.Sprint("b", i), "cache1")
+	}
+	if e.Site(1, SiteWord{At: time.Now()}, patience) != nil || e.Site(0, SiteWord{Out: true, At: time.Now()}, patience) != nil {
+		t.Error("not called back, or the other not out then")
+	}
+	e.Submit(s.op("c", 0))
+	if at = s.await(at, "push cache"); s.cache(at) == "cache1" {
+		t.Error("pushed to a site that is out")
+	}
+}
+
 // cache is where the push of a line went.
 func (s *stage) cache(line int) string {
 	s.mu.Lock()
--- a/lab/experiment/check.go
+++ b/lab/experiment/check.go
@@ -151,7 +151,7 @@
 		span(at+"work", c.Work, 0, time.Minute)
 		span(at+"target", c.Target, time.Millisecond, time.Hour)
 		span(at+"ttl", c.TTL, c.Target.D(), time.Hour)
-		in(at+"size", float64(c.Size), 1, 64000)
+		in(at+"size", float64(c.Size), 1, 4<<20)
 		in(at+"benefit", c.Benefit, 0, 1e6)
 		sum += c.Share
 	}
--- a/lab/experiment/experiment.go
+++ b/lab/experiment/experiment.go
@@ -203,7 +203,7 @@
 	"lose": "share of answers that never come", "error": "share of pushes that fail quickly", "flush": "share of kept copies",
 	"hot-key": "share of the load", "runaway": "times its load", "hot-proxy": "share of the load", "grow": "caches more",
 	"origin-slow": "times slower", "origin-stop": "", "list-late": "seconds later", "list-silent": "", "list-empty": "",
-	"site-lost": "", "site-cut": "", "site-hand": "", "stall": "",
+	"site-lost": "", "site-cut": "", "site-hand": "", "stall": "", "retune": "times the tenants' quotas",
 	"way-slow": "seconds more", "way-lose": "share of new connections that stay silent", "way-reset": "share of connections", "way-thin": "KB a second on each connection",
 	"proxy-kill": "", "proxy-term": "", "proxy-roll": "", "proxy-upgrade": "", "proxy-waves": "", "hand": "", "lameduck": "", "impatient": "share of the usual patience",
 }
@@ -224,7 +224,7 @@
 // Operated tells whether operators call the proxies: else these are not told where to listen for that.
 func (f *File) Operated() bool {
 	return slices.ContainsFunc(f.Fault, func(x Fault) bool {
-		return x.Kind == "hand" || x.Kind == "site-hand" || x.Kind == "proxy-upgrade" || x.Kind == "lameduck" ||
+		return x.Kind == "hand" || x.Kind == "site-hand" || x.Kind == "retune" || x.Kind == "proxy-upgrade" || x.Kind == "lameduck" ||
 			x.Kind == "proxy-waves" && (x.By == "upgrade" || x.By == "mixed")
 	})
 }
--- a/lab/faults/faults.go
+++ b/lab/faults/faults.go
@@ -23,6 +23,7 @@
 	Hand(n int, cache string, number uint32, out bool) error // an operator takes a cache out, or calls it back
 	Agent(n int) *world.Agent
 	HandSite(n int, site string, caches []uint32, out bool, over time.Duration) error // an operator takes a site out, or calls it back
+	Retune(n int, quotas float64) error                                               // new settings by SIGHUP, taken
 	Stall(n int, still bool)                                                          // SIGSTOP, SIGCONT
 }
 
@@ -163,6 +164,10 @@
 		}
 	case "site-lost":
 		p.siteLost(f)
+	case "retune":
+		for _, i := range p.some(n, f) {
+			p.failed(p.fleet.Retune(i, f.Size))
+		}
 	case "site-hand":
 		p.siteHand(f)
 	case "site-cut", "way-slow", "way-lose", "way-reset", "way-thin":
--- a/lab/load/conn.go
+++ b/lab/load/conn.go
@@ -120,7 +120,7 @@
 		return ledger.Nacked, time.Duration(ms) * time.Millisecond, nil
 	case line[0] == '$':
 		size, err := strconv.Atoi(line[1:])
-		if err != nil || size < 0 || size > 1<<20 {
+		if err != nil || size < 0 || size > 4<<20 {
 			return ledger.Dead, 0, nil
 		}
 		value := make([]byte, size+2)
--- a/lab/run/fleet.go
+++ b/lab/run/fleet.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -201,6 +202,29 @@
 	return nil
 }
 
+// Retune writes a proxy's settings anew, with other quotas, and has it read them; it has to say that it took them.
+func (f *fleet) Retune(n int, quotas float64) error {
+	f.mu.Lock()
+	p := f.procs[n]
+	f.mu.Unlock()
+	changed := *f.x
+	changed.Tenant = slices.Clone(f.x.Tenant)
+	for i := range changed.Tenant {
+		changed.Tenant[i].Quota *= quotas
+	}
+	before := figures(p)["svc_reloads_ok"]
+	if _, err := configure(f.dir, &changed, n, f.proxies[n].Addr, f.agents[n].Addr, p.control, f.agents[n].List()); err != nil {
+		return err
+	}
+	f.signal(n, syscall.SIGHUP)
+	for until := time.Now().Add(longestStart); figures(p)["svc_reloads_ok"] == before; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(until) {
+			return fmt.Errorf("proxy %d has not taken new settings: %s", n, tail(p.log))
+		}
+	}
+	return nil
+}
+
 // Stall stops a proxy's process as it is, or lets it go on.
 func (f *fleet) Stall(n int, still bool) {
 	how, state := syscall.SIGCONT, uint32(0)
@@ -289,21 +313,30 @@
 	procs := append([]*process(nil), f.procs...)
 	f.mu.Unlock()
 	sums := map[string]int64{}
-	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for _, p := range procs {
-		resp, err := client.Get("http://" + p.control + "/_vars")
-		if err != nil {
-			sums["unanswered"]++
-			continue
+		for name, n := range figures(p) {
+			sums[name] += n
 		}
-		for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
-			name, value, _ := strings.Cut(lines.Text(), " ")
-			name, _, _ = strings.Cut(name, "{")
-			if n, err := strconv.ParseInt(value, 10, 64); err == nil {
-				sums[name] += n
-			}
+	}
+	return sums
+}
+
+// figures are a process's, by name without their class.
+func figures(p *process) map[string]int64 {
+	sums := map[string]int64{}
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + p.control + "/_vars")
+	if err != nil {
+		sums["unanswered"]++
+		return sums
+	}
+	defer resp.Body.Close()
+	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+		name, value, _ := strings.Cut(lines.Text(), " ")
+		name, _, _ = strings.Cut(name, "{")
+		if n, err := strconv.ParseInt(value, 10, 64); err == nil {
+			sums[name] += n
 		}
-		resp.Body.Close()
 	}
 	return sums
 }
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -151,10 +152,7 @@
 // Value is what a server answers for an op: made for it alone, so that another's is known.
 func Value(key, id string, size int) string {
 	v := id + " " + key + " "
-	for len(v) < size {
-		v += "................................"[:min(32, size-len(v))]
-	}
-	return v
+	return v + strings.Repeat(".", max(size-len(v), 0))
 }
 
 // Number is an op's number, from its id.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -387,7 +387,7 @@
 		c := choices[i]
 		mean := float64(total) * c.size / b.sizes // in proportion to its size
 		// It, or all of its zone, lately failed this proxy; few proxies each see enough to go by limits.
-		doubt := b.Proxies > firstLimit && (c.doubt.Stands(now) || b.sites.Stands(c.Zone, now)) ||
+		doubt := b.Proxies > firstLimit && (c.doubt.Stands(now) || b.sites.Stands(c.Zone, o.key, now)) ||
 			b.rnd.Share() < c.shun && (b.shadow == nil || b.room(b.shadow, o))
 		if doubt || b.far(o, c, now) || spare && b.crowded(c, now) > 0 { // else a pass is a miss in vain
 			most = min(most+1, 3*candidates)
@@ -627,7 +627,7 @@
 	if c != b.origin && (how == ConnectFailed || how == TimedOut && ill >= 0.5) {
 		b.sites.Silent(c.Zone, now, 4*b.shortest)
 	} else if c != b.origin && how != TimedOut && how != Cancelled && how != Moot {
-		b.sites.Heard(c.Zone)
+		b.sites.Heard(c.Zone, now)
 	}
 	if c != b.origin && (how == ConnectFailed || how != Broken && ill >= 0.25) {
 		b.suspect(c)
