--- a/lab/experiment/check.go
+++ b/lab/experiment/check.go
@@ -181,7 +181,7 @@
 			must(at+"zone", x.Zone != "", "a site is wanted")
 			must(at+"for", x.For > 0, "a span is wanted")
 		}
-		if strings.HasPrefix(x.Kind, "way-") {
+		if strings.HasPrefix(x.Kind, "way-") || x.Kind == "list-lies" {
 			must(at+"zone", x.Zone != "", "a zone is wanted")
 		}
 		if x.Kind == "site-cut" || strings.HasPrefix(x.Kind, "way-") {
--- a/lab/faults/faults.go
+++ b/lab/faults/faults.go
@@ -182,6 +182,17 @@
 			p.fleet.Stall(i, false)
 		}
 		p.say(f.Kind + " is over")
+	case "list-lies":
+		hide := func(on bool) {
+			for i := range p.fleet.Count() {
+				p.fleet.Agent(i).Hide(p.w.Exp.Zone(f.Zone), on)
+			}
+		}
+		if hide(true); f.For > 0 {
+			p.sleep(f.For.D())
+			hide(false)
+			p.say(f.Kind + " is over")
+		}
 	case "lameduck":
 		p.lameduck(n, f)
 	case "hand":
--- a/lab/run/fleet.go
+++ b/lab/run/fleet.go
@@ -181,6 +181,11 @@
 	f.mu.Lock()
 	p := f.procs[n]
 	f.mu.Unlock()
+	select {
+	case <-p.ended: // its site is lost: nobody can call it
+		return nil
+	default:
+	}
 	path, state := "/_sites/attach", uint32(0)
 	if out {
 		path, state = "/_sites/detach", 1
--- a/lab/run/sites_test.go
+++ b/lab/run/sites_test.go
@@ -13,7 +13,7 @@
 // The verdict hangs on counts alone: every try has one end, no rule is broken, whatever was asked of the lab was done.
 func TestSites(t *testing.T) {
 	daemon := build(t, "minttray")
-	for _, name := range []string{"site-lost", "site-cut", "site-cut-ways", "site-flaps", "two-sites", "site-by-hand", "stalls"} {
+	for _, name := range []string{"site-lost", "site-cut", "site-cut-ways", "site-flaps", "two-sites", "site-by-hand", "site-busy", "stalls"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			x, err := experiment.Read("../../experiments/" + name + "-short.toml")
--- a/lab/world/registry.go
+++ b/lab/world/registry.go
@@ -44,6 +44,7 @@
 	entries map[uint32]entry
 	silent  bool
 	empty   bool
+	hidden  map[int]bool // zones whose caches this list lacks, though they run
 	late    time.Duration
 	changed chan struct{}
 	life    uint32
@@ -149,6 +150,18 @@
 	a.wake()
 }
 
+// Hide has the list lack a zone's caches, or name them again.
+func (a *Agent) Hide(zone int, hidden bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.hidden == nil {
+		a.hidden = map[int]bool{}
+	}
+	a.hidden[zone] = hidden
+	a.version++
+	a.wake()
+}
+
 // Life says which life of its proxy asks from now on, for the ledger.
 func (a *Agent) Life(life uint32) {
 	a.mu.Lock()
@@ -186,7 +199,7 @@
 			}
 			continue
 		}
-		if e.State != ledger.Out {
+		if e.State != ledger.Out && !a.hidden[e.Zone] {
 			all = append(all, a.instance(e))
 		}
 	}
@@ -249,6 +262,9 @@
 		} else if a.empty {
 			continue
 		}
+		if a.hidden[e.Zone] {
+			state = ledger.Out
+		}
 		if was, known := a.told[n]; a.life > 0 && (!known && state != ledger.Active || known && was != state) {
 			a.reg.w.Book.Put(ledger.Record{Kind: ledger.Told, At: a.reg.w.Now(), A: a.life, B: n, C: state})
 		}
