--- a/cmd/mintlab/main.go
+++ b/cmd/mintlab/main.go
@@ -231,14 +231,32 @@
 }
 
 func planCommand() *cobra.Command {
-	return &cobra.Command{Use: "plan FILE", Short: "Writes an experiment's deployment as minttray plan reads it.", Args: cobra.ExactArgs(1),
+	seen, plans := "", ""
+	c := &cobra.Command{Use: "plan FILE", Short: "Writes an experiment's deployment as minttray plan reads it.", Args: cobra.ExactArgs(1),
+		Long: `Writes an experiment's deployment as minttray plan reads it. With --seen, the directory of a run of the same experiment, and
+--plans, what minttray plan --json made of that file, both are set side by side.`,
 		RunE: func(cmd *cobra.Command, paths []string) error {
 			x, err := experiment.Read(paths[0])
-			if err == nil {
+			if err == nil && seen == "" {
 				fmt.Fprint(cmd.OutOrStdout(), run.Forecast(x))
 			}
-			return err
+			if err != nil || seen == "" {
+				return err
+			}
+			r, err := report.Read(seen)
+			if err != nil {
+				return err
+			}
+			in, err := os.Open(plans)
+			if err != nil {
+				return err
+			}
+			defer in.Close()
+			return run.Seen(cmd.OutOrStdout(), x, in, r)
 		}}
+	c.Flags().StringVar(&seen, "seen", "", "a run's directory")
+	c.Flags().StringVar(&plans, "plans", "", "the plans' file")
+	return c
 }
 
 func showCommand() *cobra.Command {
--- a/lab/run/forecast.go
+++ b/lab/run/forecast.go
@@ -1,11 +1,17 @@
 package run
 
 import (
+	"encoding/json"
 	"fmt"
+	"io"
+	"slices"
 	"strings"
+	"text/tabwriter"
+	"time"
 
 	"minttray/decide/site"
 	"minttray/lab/experiment"
+	"minttray/lab/report"
 )
 
 // Forecast writes an experiment's deployment as the file that minttray plan reads, so that what it says and what a run of the
@@ -39,3 +45,45 @@
 	}
 	return b.String()
 }
+
+// Seen sets what plans foretold (as minttray plan --json writes them) beside what a run of the same experiment showed, for each
+// site that it lost or cut off: the two seconds after the front has noticed, the last three ahead of the return, the first
+// three after it.
+func Seen(out io.Writer, x *experiment.File, plans io.Reader, r *report.Result) error {
+	var all []site.Plan
+	if err := json.NewDecoder(plans).Decode(&all); err != nil {
+		return fmt.Errorf("plans: %w", err)
+	}
+	t := tabwriter.NewWriter(out, 2, 4, 2, ' ', 0)
+	fmt.Fprintln(t, "loss\tphase\tserved, foretold\tseen\tfetches/s, foretold\tseen")
+	for _, f := range x.Fault {
+		cut := f.Kind == "site-cut"
+		i := slices.IndexFunc(all, func(p site.Plan) bool { return p.Cut == cut && slices.Equal(p.Lost, []string{f.Zone}) })
+		if i < 0 || f.Kind != "site-lost" && !cut {
+			continue
+		}
+		from := f.At.D() + x.Front.Notice.D()
+		back := f.At.D() + f.For.D()
+		for n, window := range [][2]time.Duration{{from, from + 2*time.Second}, {back - 3*time.Second, back}, {back, back + 3*time.Second}} {
+			if n == 1 && window[0] < from+2*time.Second { // too short a loss for anything to settle
+				continue
+			}
+			asked, inTime, fetches, seconds := 0.0, 0.0, 0.0, 0.0
+			for s := int(window[0] / time.Second); s < int(window[1]/time.Second) && s < len(r.Figures.Seconds); s++ {
+				at := r.Figures.Seconds[s]
+				asked, inTime, fetches, seconds = asked+at.Asked, inTime+at.InTime, fetches+float64(at.Fetches), seconds+1
+			}
+			// A cut concerns the clients of its site alone; the others go on as in the loss of that site.
+			p := all[i].Phases[n]
+			served, wanted := p.Served, p.Asked.Fetches
+			if cut {
+				rest := slices.IndexFunc(all, func(p site.Plan) bool { return !p.Cut && slices.Equal(p.Lost, []string{f.Zone}) })
+				sites := float64(len(x.Zones.Names))
+				served = p.Served/sites + all[rest].Phases[n].Served*(1-1/sites)
+				wanted = min(p.Asked.Fetches, p.Has.Fetches) + all[rest].Phases[n].Asked.Fetches*(1-1/sites)
+			}
+			fmt.Fprintf(t, "%s %s\t%s\t%.3f\t%.3f\t%.0f\t%.0f\n", f.Kind, f.Zone, p.Name, served, inTime/max(asked, 1), wanted, fetches/max(seconds, 1))
+		}
+	}
+	return t.Flush()
+}
--- a/lab/run/sites_test.go
+++ b/lab/run/sites_test.go
@@ -7,6 +7,8 @@
 
 	"minttray/lab/experiment"
 	"minttray/lab/ledger"
+	"minttray/lab/measure"
+	"minttray/lab/report"
 )
 
 // Sites that are lost, cut off, come back and are lost again, and processes that stand still: six real daemons over three sites.
@@ -90,3 +92,25 @@
 		}
 	}
 }
+
+// What a plan foretold and what a run showed are set beside each other for each loss; the columns are those that a reader compares.
+func TestSeen(t *testing.T) {
+	x, err := experiment.Read("../../experiments/site-lost.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &report.Result{}
+	r.Figures.Seconds = make([]*measure.Second, 60)
+	for i := range r.Figures.Seconds {
+		r.Figures.Seconds[i] = &measure.Second{Asked: 10, InTime: 9, Fetches: 400}
+	}
+	plans := `[{"Lost":["b"],"Phases":[{"Name":"at once","Served":0.5,"Asked":{"Fetches":500}},{"Name":"settled","Served":1},{"Name":"return","Served":1}]}]`
+	var out strings.Builder
+	if err := Seen(&out, x, strings.NewReader(plans), r); err != nil {
+		t.Fatal(err)
+	}
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	if len(lines) != 4 || strings.Join(strings.Fields(lines[1]), " ") != "site-lost b at once 0.500 0.900 500 400" {
+		t.Errorf("%s", out.String())
+	}
+}
