A site that nobody took out is not called back

Cause: a call back of a site that was never out would have taken the clients of its proxies again, whoever had sent them away.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -462,6 +462,9 @@
 	if err := e.Site(0, SiteWord{Out: true, At: time.Now()}, patience); err != ErrLast {
 		t.Errorf("the last site: %v", err)
 	}
+	if err := e.Site(0, SiteWord{At: time.Now()}, patience); err != ErrUnknown {
+		t.Errorf("a site that nobody took out: %v", err)
+	}
 	if err := e.Site(7, SiteWord{Out: true, At: time.Now()}, patience); err != ErrUnknown {
 		t.Errorf("a site that is not there: %v", err)
 	}
--- a/internal/engine/out.go
+++ b/internal/engine/out.go
@@ -187,7 +187,7 @@
 			known = known || m.Zone == zone
 			left = left || m.Zone != zone && m.State == policy.Ready && !m.Out && !e.sites[m.Zone].Out
 		}
-		if _, told := e.sites[zone]; !known && !told {
+		if _, told := e.sites[zone]; !told && (!known || !h.Out) { // none that nobody took out is called back
 			return ErrUnknown
 		} else if h.Out && !left {
 			return ErrLast
--- a/lab/run/fleet.go
+++ b/lab/run/fleet.go
@@ -45,6 +45,7 @@
 	agents []*world.Agent
 	procs  []*process
 	lives  uint32
+	handed map[int]uint32 // by proxy: the life that was told that a site is out; of the one fault that does
 	failed []string // proxies that ended by themselves
 	used   []measure.Use
 }
@@ -62,7 +63,7 @@
 
 // newFleet starts all proxies and waits until they serve.
 func newFleet(x *experiment.File, w *world.World, dir string, command, env []string) (*fleet, error) {
-	f := &fleet{x: x, w: w, dir: dir, command: command, env: env, procs: make([]*process, x.Proxies.Count),
+	f := &fleet{x: x, w: w, dir: dir, command: command, env: env, procs: make([]*process, x.Proxies.Count), handed: map[int]uint32{},
 		used: make([]measure.Use, x.Proxies.Count), done: make(chan struct{})}
 	for n := range x.Proxies.Count {
 		a, err := w.Reg.Agent(n)
@@ -195,6 +196,10 @@
 		body += " " + over.String()
 	}
 	at := f.w.Now()
+	if !out && p.life != f.handed[n] { // a new process on an empty disk: nobody has taken the site out there
+		return nil
+	}
+	f.handed[n] = p.life
 	if err := f.call(p, http.MethodPost, path, body); err != nil {
 		return fmt.Errorf("proxy %d, %s %s: %w", n, path, body, err)
 	}
