Lab: a machine that two faults bring back belongs to its first successor

Cause: site-busy now and then could not be played: a release and the return of a lost site both listened at one cache's address. Change: who has been followed does not start again, and is followed once.

--- a/lab/run/fleet.go
+++ b/lab/run/fleet.go
@@ -46,7 +46,7 @@
 	procs  []*process
 	lives  uint32
 	handed map[int]uint32 // by proxy: the life that was told that a site is out; of the one fault that does
-	failed []string // proxies that ended by themselves
+	failed []string       // proxies that ended by themselves
 	used   []measure.Use
 }
 
--- a/lab/world/cache.go
+++ b/lab/world/cache.go
@@ -35,6 +35,7 @@
 	report    string
 	reported  time.Time
 	Refused   atomic.Int64 // connections over its cap
+	followed  atomic.Bool  // another process has its address
 }
 
 // Faults are what can be wrong with a server; shares from 0 to 1, read at any time.
@@ -103,6 +104,9 @@
 
 // up starts the process: its listeners, its name in the list.
 func (c *Cache) up(cold bool) error {
+	if c.followed.Load() {
+		return nil
+	}
 	c.mu.Lock()
 	if c.alive {
 		c.mu.Unlock()
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -82,6 +82,10 @@
 
 // Replace puts a successor up at a cache's address, under a new id.
 func (w *World) Replace(old *Cache) (*Cache, error) {
+	// Danger: two faults at once may both bring a machine back; the address belongs to the first successor.
+	if old.followed.Swap(true) {
+		return old, nil
+	}
 	w.mu.Lock()
 	n := uint32(len(w.caches) + 1)
 	c := newCache(w, n, fmt.Sprintf("cache-%d", n), old.Zone)
