--- a/lab/faults/sites.go
+++ b/lab/faults/sites.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"minttray/lab/experiment"
+	"minttray/lab/ledger"
 	"minttray/lab/ways"
 	"minttray/lab/world"
 )
@@ -15,7 +16,7 @@
 	caches, proxies := p.picked(0, experiment.Fault{Zone: f.Zone}), p.some(0, experiment.Fault{Zone: f.Zone})
 	back := func() {}
 	if f.Origin {
-		back = p.w.Ways.Put(ways.Rule{Near: p.w.OriginEnd(), Far: ways.End{Site: ways.Any}, Out: true, In: true, Cut: true})
+		back = p.breaks(ways.Rule{Near: p.w.OriginEnd(), Far: ways.End{Site: ways.Any}, Out: true, In: true, Cut: true})
 	}
 	var ended sync.WaitGroup
 	for _, i := range proxies {
@@ -72,6 +73,17 @@
 	p.say(f.Kind + " is over")
 }
 
+// breaks puts a rule, and books that ways are broken until it is over.
+func (p *Player) breaks(r ways.Rule) (end func()) {
+	book := func(on uint32) { p.w.Book.Put(ledger.Record{Kind: ledger.Blind, At: p.w.Now(), C: on}) }
+	book(1)
+	over := p.w.Ways.Put(r)
+	return func() {
+		over()
+		book(0)
+	}
+}
+
 // ways breaks what is between a zone and another, or all others, in the direction that the fault says.
 func (p *Player) ways(f experiment.Fault) {
 	x := p.w.Exp
@@ -89,7 +101,7 @@
 	case "way-thin":
 		r.Rate = f.Size * 1024
 	}
-	end := p.w.Ways.Put(r)
+	end := p.breaks(r)
 	if f.For > 0 {
 		p.sleep(f.For.D())
 		end()
--- a/lab/ways/ways_test.go
+++ b/lab/ways/ways_test.go
@@ -161,3 +161,22 @@
 		t.Errorf("%q", line)
 	}
 }
+
+// A socket is told to be open from the other end, by the kernel's table, until its process closes it.
+func TestOpen(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c, _ := net.Dial("tcp", l.Addr().String())
+	k, _ := l.Accept()
+	defer k.Close()
+	if !open(k.RemoteAddr()) {
+		t.Error("an open one is taken for closed")
+	}
+	c.Close()
+	if open(k.RemoteAddr()) {
+		t.Error("a closed one is taken for open")
+	}
+}
