--- a/lab/run/forecast.go
+++ b/lab/run/forecast.go
@@ -25,8 +25,14 @@
 	room := float64(int(x.Caches.MemoryMB * (1 << 20) / float64(size)))
 	const flat = 8 // of the lab's draw
 	d := site.Deployment{Keys: float64(x.Keys.Count), Zipf: x.Keys.Zipf, Flat: flat}
+	kept := d.Mass(room * float64(x.Caches.Count))
+	for _, c := range x.Category {
+		if c.Write { // each voids the copies of its key, which the next read misses
+			kept *= 1 - c.Share
+		}
+	}
 	fmt.Fprintf(&b, "# %s, as a plan reads it\n[keys]\ncount = %d\nzipf = %v\nflat = %d\nhits = %.4f\n\n", x.Name, x.Keys.Count, x.Keys.Zipf, flat,
-		d.Mass(room*float64(x.Caches.Count)))
+		kept)
 	fmt.Fprintf(&b, "[origin]\nsite = %q\nfetches = %.1f\nmiss_work = 0.125\n\n", x.Zones.Names[0], float64(x.Origin.Cores)/x.Origin.Work.D().Seconds())
 	fmt.Fprintf(&b, "[cold]\nfrom = %v\nwarm_up = %q\nfall_multiple = %v\ntip_after = %q\n\n", x.Caches.ColdFrom, x.Caches.WarmUp.D(), x.Rules.FallMultiple,
 		x.Rules.TipAfter.D())
