Lab: ways are cut and whole again at one moment; a plan knows that nothing fills without an origin

Change: all are told at once; a connection that waited or came late is taken if its sender still holds it, and no first one is reset; without fetches the settled phase is the first one.

--- a/decide/site/plan.go
+++ b/decide/site/plan.go
@@ -245,8 +245,9 @@
 		settled = 0
 	}
 	cold := settled * (1 - p.Moved)
-	if l.Cut { // what is left was warm for its own keys only
-		cold = d.hits(kept, total) * (1 - p.Moved)
+	filled := settled
+	if room.Fetches == 0 { // nothing fills what has moved
+		filled = cold
 	}
 	back := Room{room.Work, d.Fetches}
 	for _, c := range d.Caches {
@@ -255,7 +256,7 @@
 		}
 	}
 	p.Phases[0] = d.phase("at once", asked, cold, room, left, p.Load)
-	p.Phases[1] = d.phase("settled", asked, settled, room, left, p.Load)
+	p.Phases[1] = d.phase("settled", asked, filled, room, left, p.Load)
 	// As the caches come back their seats are given back no faster than they can take them: the caches that stood in for them
 	// still have the keys, so hits stay as they are and only work grows.
 	p.Phases[2] = d.phase("return", asked, settled, back, left, p.Load)
@@ -324,10 +325,10 @@
 // fill is how soon the origin can have filled what has moved: fetches beyond the steady rate go to cold keys as they are asked
 // for, so that each brings back the popularity of a key drawn by popularity from those still cold.
 func (p *Plan) fill(d *Deployment, ops, cold, settled float64, room Room) {
-	if room.Work == 0 {
+	if room.Work == 0 || room.Fetches == 0 {
 		p.Filled = math.Inf(1)
-	}
-	if settled <= cold {
+		return
+	} else if settled <= cold {
 		return
 	}
 	reads, kept := 0.0, 0.0
--- a/lab/ways/listen.go
+++ b/lab/ways/listen.go
@@ -25,7 +25,6 @@
 	mu    sync.Mutex
 	shut  bool
 	whole time.Time // the ways were cut until then
-	stale bool      // the next one in the queue came up while it was shut
 	plugs []net.Conn
 	over  chan struct{}
 	once  sync.Once
@@ -52,7 +51,7 @@
 		return
 	}
 	if l.shut = cut; !cut {
-		l.stale, l.whole = true, time.Now()
+		l.whole = time.Now()
 		l.queue(backlog)
 		for _, p := range l.plugs {
 			p.Close()
@@ -82,15 +81,6 @@
 	}
 }
 
-// late tells whether a connection stood in the queue while that was shut: one that fills it, or one that came up in its place.
-func (l *Listener) late() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	was := l.stale
-	l.stale = false
-	return was
-}
-
 // Accept waits for the next connection.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
@@ -114,15 +104,9 @@
 				return nil, net.ErrClosed
 			}
 		}
-		// Danger: what a proxy wrote on such a connection would be read when it has long given that up.
-		if waited || l.late() {
-			c.(*net.TCPConn).SetLinger(0)
-			c.Close()
-			continue
-		}
-		// Danger: a handshake that began before the cut comes up when the sender's kernel tries again, seconds after the cut, with
-		// all that a proxy wrote and has long given up.
-		if l.lately() && !open(c) {
+		// Danger: what a proxy wrote on a connection that stood in the queue, or on one that comes up when its kernel tries again,
+		// seconds after the cut, it may have long given up. Those that fill the queue are closed by then as well.
+		if (waited || l.lately()) && !open(c) {
 			c.Close()
 			continue
 		}
--- a/lab/ways/ways.go
+++ b/lab/ways/ways.go
@@ -79,9 +79,15 @@
 		all = append(all, c)
 	}
 	t.mu.Unlock()
+	var told sync.WaitGroup // all at once: a listener takes tens of milliseconds to be sure that it is shut
 	for _, c := range all {
-		c.ruled(put)
+		told.Add(1)
+		go func() {
+			defer told.Done()
+			c.ruled(put)
+		}()
 	}
+	told.Wait()
 }
 
 func (t *Table) follow(c changes, on bool) {
--- a/lab/ways/ways_test.go
+++ b/lab/ways/ways_test.go
@@ -147,12 +147,14 @@
 	defer l.Close()
 	early, _ := net.Dial("tcp", l.Addr().String()) // not accepted yet
 	fmt.Fprintln(early, "early")
-	w.Put(Rule{Near: client, Far: server, Out: true, Cut: true})()
-	go func() {
-		time.Sleep(short)
-		c, _ := net.Dial("tcp", l.Addr().String())
-		fmt.Fprintln(c, "late")
-	}()
+	end := w.Put(Rule{Near: client, Far: server, Out: true, Cut: true})
+	early.Close()
+	end()
+	time.AfterFunc(short, func() {
+		if c, err := net.Dial("tcp", l.Addr().String()); err == nil {
+			fmt.Fprintln(c, "late")
+		}
+	})
 	k, err := l.Accept()
 	if err != nil {
 		t.Fatal(err)
