--- a/lab/load/front.go
+++ b/lab/load/front.go
@@ -126,8 +126,8 @@
 // near is a client's end of its ways.
 func near(zone int) ways.End { return ways.End{Site: zone, Name: "clients"} }
 
-// cut tells whether nothing comes through between a zone's clients and a proxy.
-func (f *Front) cut(zone int, p *Proxy) bool { return f.Ways != nil && f.Ways.Cut(near(zone), p.End) }
+// broken tells whether something is wrong with the ways between a zone's clients and a proxy: then an answer in time may come late.
+func (f *Front) broken(zone int, p *Proxy) bool { return f.Ways != nil && f.Ways.Broken(near(zone), p.End) }
 
 // dial gives an idle connection from a zone to a proxy, or a new one.
 func (f *Front) dial(p *Proxy, zone int, l *Load) (*conn, error) {
--- a/lab/ways/ways.go
+++ b/lab/ways/ways.go
@@ -124,6 +124,13 @@
 	return there.Cut || back.Cut
 }
 
+// Broken tells whether anything is wrong between two ends.
+func (t *Table) Broken(a, b End) bool {
+	there, _ := t.is(a, b)
+	back, _ := t.is(b, a)
+	return there != Rule{} || back != Rule{}
+}
+
 func (t *Table) draw(share float64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
