Lab: an answer after its client has left is not lost; a late one over a broken way counts so

Change: the judge lets an answer come late where the client had left; a try over a broken way that is answered late has left.

--- a/lab/ledger/ledger_test.go
+++ b/lab/ledger/ledger_test.go
@@ -91,6 +91,7 @@
 		{"loses", "0 sent; 5 push s1 c1; 20 over s1 c1 answered", Lost},
 		{"hangs up", "0 sent; 5 push s1 c1; 20 closed", Lost},
 		{"late", "0 sent; 5 push s1 c1; 450 over s1 c1 answered; 451 acked", Lost},
+		{"late, and its client has left", "0 sent; 5 push s1 c1; 400 left; 450 over s1 c1 answered; 451 acked", ""},
 		{"another op's value", "0 sent; 5 push s1 c1; 20 over s1 c1 answered; 21 foreign", Lost},
 		{"killed by the lab with the op in hand", "0 sent; 5 push s1 c1; 20 gone p1 meant; 20 closed; 20 over s1 c1 dropped", ""},
 		{"killed in the midst of its answer", "0 sent; 5 push s1 c1; 18 over s1 c1 answered; 20 half; 20 gone p1 meant", ""},
--- a/lab/load/front.go
+++ b/lab/load/front.go
@@ -127,7 +127,9 @@
 func near(zone int) ways.End { return ways.End{Site: zone, Name: "clients"} }
 
 // broken tells whether something is wrong with the ways between a zone's clients and a proxy: then an answer in time may come late.
-func (f *Front) broken(zone int, p *Proxy) bool { return f.Ways != nil && f.Ways.Broken(near(zone), p.End) }
+func (f *Front) broken(zone int, p *Proxy) bool {
+	return f.Ways != nil && f.Ways.Broken(near(zone), p.End)
+}
 
 // dial gives an idle connection from a zone to a proxy, or a new one.
 func (f *Front) dial(p *Proxy, zone int, l *Load) (*conn, error) {
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -169,6 +169,9 @@
 	defer timer.Stop()
 	select {
 	case r := <-got:
+		if late := l.now() - at; late > wait && (broken || l.front.broken(a.Zone, p)) { // in time, as far as its proxy can know
+			l.book.Put(ledger.Record{Kind: ledger.Left, At: at + wait, Op: id})
+		}
 		l.meter.Try(age, again, c.Benefit, r.how == ledger.Acked && l.now()-at <= c.Target.D())
 		if r.how == ledger.Acked || r.how == ledger.Nacked || r.how == ledger.Dead {
 			l.front.back(nc)
