--- a/lab/run/fleet.go
+++ b/lab/run/fleet.go
@@ -100,8 +100,19 @@
 // temp is the directory that a proxy's processes share, empty at each start but not at an upgrade.
 func (f *fleet) temp(n int) string { return filepath.Join(f.dir, fmt.Sprintf("tmp-%d", n)) }
 
-// Start starts a proxy's process and waits until it answers PING.
+// Start starts a proxy's process and waits until it answers PING. One that runs is left alone: of two faults that bring it back
+// the second has nothing to do.
 func (f *fleet) Start(n int) error {
+	f.mu.Lock()
+	was := f.procs[n]
+	f.mu.Unlock()
+	if was != nil {
+		select {
+		case <-was.ended:
+		default:
+			return nil
+		}
+	}
 	if err := errors.Join(os.RemoveAll(f.temp(n)), os.Mkdir(f.temp(n), 0o755)); err != nil {
 		return err
 	}
@@ -203,12 +214,20 @@
 	if err := f.call(p, http.MethodPost, path, body); err != nil {
 		return fmt.Errorf("proxy %d, %s %s: %w", n, path, body, err)
 	}
-	if out { // all of them are out once the span is over
-		at = f.w.Now() + over
+	book := func() {
+		for _, c := range caches {
+			f.w.Book.Put(ledger.Record{Kind: ledger.Hand, At: at, A: p.life, B: c, C: state})
+		}
 	}
-	for _, c := range caches {
-		f.w.Book.Put(ledger.Record{Kind: ledger.Hand, At: at, A: p.life, B: c, C: state})
+	if !out {
+		book()
+		return nil
 	}
+	// All of them are out once the span is over. Danger: booked ahead, the judge would close ops that are still open.
+	time.AfterFunc(over, func() {
+		at = f.w.Now()
+		book()
+	})
 	return nil
 }
 
