New settings count as taken once the fronts know them too

Excluded: the engine (retuned ahead of the count). Change: the count comes last. Result: the daemon's tests under the race detector.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -191,7 +191,6 @@
 			log.Error().Err(err).Msg("configuration not taken; the old one stands")
 			return
 		}
-		book.ReloadsOK.Inc()
 		c = next
 		shifts.retuned(c.Settings.Print())
 		kept.retuned(c.Settings)
@@ -200,6 +199,7 @@
 		if watch.Move(c.Discovery); len(waiting) > 0 {
 			log.Warn().Strs("fields", waiting).Msg("changed fields that wait for a restart")
 		}
+		book.ReloadsOK.Inc() // Danger: counted ahead, an operator would take clients' next op for one under the new settings
 		log.Info().Str("discovery", c.Discovery).Strs("classes", f.Classes()).Msg("configuration read anew")
 	}
 	if every > 0 {
