--- a/lab/ways/ways.go
+++ b/lab/ways/ways.go
@@ -7,7 +7,6 @@
 package ways
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -136,5 +135,3 @@
 	defer t.mu.Unlock()
 	return share > 0 && t.rnd.Float64() < share
 }
-
-func (e End) String() string { return fmt.Sprintf("%s@%d", e.Name, e.Site) }
