A push that is not written ends with its op, its client or its cache's drain

A list that has a cache drain, leave, move or start anew took back nothing either: only an operator's word did (follow). And the word of a leaving stands in the engine's queue behind other events; one that came ahead of Submit, as a connection ended between an op's place and its handing in, was lost: the op stayed open for nobody.

Change: engine.end, the one place where an op ends, takes back what is not written, whatever the settings say; engine.list does so for caches to which nothing goes any more; Request.Left is set at once by the front's goroutine and asked before a push is made and before its first byte. Counted as engine.withdrawn.

Tests: engine/endings_test.go and pool/endings_test.go (40 connections whose SYNs are in the air, by the kernel's own table, as all ops end).

--- a/internal/engine/counters.go
+++ b/internal/engine/counters.go
@@ -13,6 +13,7 @@
 	Taken, Acked, Nacked, DeadLettered int
 	Left                               int // clients gone before their answer
 	HandedBack                         int // answered as the process ended
+	Withdrawn                          int // pushes taken back before a byte of them was written
 	Overdue, Late                      int // both stay 0 while the module keeps its contract
 	Sent                               int
 	Pushes                             [policy.Miss + 1]int // by outcome
@@ -31,7 +32,8 @@
 // MarshalZerologObject writes the counters into a log line.
 func (c *Counters) MarshalZerologObject(l *zerolog.Event) {
 	l.Int("taken", c.Taken).Int("acked", c.Acked).Int("nacked", c.Nacked).Int("dead_lettered", c.DeadLettered).
-		Int("left", c.Left).Int("handed_back", c.HandedBack).Int("overdue", c.Overdue).Int("late", c.Late).Int("sent", c.Sent)
+		Int("left", c.Left).Int("handed_back", c.HandedBack).Int("overdue", c.Overdue).Int("late", c.Late).Int("sent", c.Sent).
+		Int("withdrawn", c.Withdrawn)
 	for i, n := range c.Pushes {
 		l.Int("push_"+outcomeNames[i], n)
 	}
--- /dev/null
+++ b/internal/engine/endings_test.go
@@ -0,0 +1,176 @@
+package engine
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"minttray/policy"
+)
+
+// lines counts what the stage has met that begins so.
+func (s *stage) lines(start string) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, line := range s.log {
+		if strings.HasPrefix(line, start) {
+			n++
+		}
+	}
+	return n
+}
+
+// Danger: where servers take no cancelling, a push that still dials as its op ends is written after the op's answer, or for a
+// client that has left. What no server has heard of is withdrawn, whatever the settings say.
+func TestWhatIsNotWrittenEndsWithItsOp(t *testing.T) {
+	for name, end := range map[string]func(e *Engine, o *Op){
+		"its client has left":  func(e *Engine, o *Op) { e.Leave(o) },
+		"the process ends":     func(e *Engine, o *Op) { e.HandBack(patience) },
+		"its time is long up":  func(e *Engine, o *Op) { e.Do(func(e *Engine) { e.expire(o.held) }) },
+		"it was answered late": func(e *Engine, o *Op) { e.Do(func(e *Engine) { e.Nack(o.held.id, 0) }) },
+	} {
+		for _, cancelling := range []bool{false, true} {
+			for category := range 3 { // an at-most-once op as well
+				t.Run(fmt.Sprint(name, cancelling, category), func(t *testing.T) {
+					e, s := play(t, func(o *Options) { o.Settings.Cancelling = cancelling })
+					s.unwritten = true
+					o := s.op("a", category)
+					e.Submit(o)
+					s.await(0, "push cache")
+					end(e, o)
+					s.await(0, "taken back cache")
+					if c := settled(e); c.Withdrawn != 1 || c.Pushes[policy.Moot] != 1 || e.ops.Load() != 0 || s.lines("push") != 1 {
+						t.Errorf("%+v", c)
+					}
+				})
+			}
+		}
+	}
+}
+
+// What was written runs on under its rule: it is not given up where servers take no cancelling.
+func TestWhatIsWrittenRunsOn(t *testing.T) {
+	e, s := play(t, func(o *Options) { o.Settings.Cancelling = false })
+	o := s.op("a", 2)
+	e.Submit(o)
+	at := s.await(0, "push cache")
+	e.Leave(o)
+	if c := settled(e); c.Withdrawn != 0 || s.lines("given up") != 0 || e.ops.Load() != 1 {
+		t.Errorf("%+v", c)
+	}
+	s.answer(at, Result{Outcome: policy.Acked, Value: []byte("v")})
+	if c := settled(e); c.Acked != 0 || e.ops.Load() != 0 || s.lines("acked") != 0 {
+		t.Errorf("%+v", c)
+	}
+}
+
+// Danger: under a burst the engine comes to an op long after its client has left, and would push for nobody. And a connection
+// may end between an op's place and its handing in, so that the leaving comes first.
+func TestClientThatLeavesWhileTheEngineIsBehind(t *testing.T) {
+	for name, play := range map[string]func(e *Engine, o *Op){
+		"behind its op":   func(e *Engine, o *Op) { e.Submit(o); e.Leave(o) },
+		"ahead of its op": func(e *Engine, o *Op) { e.Leave(o); e.Submit(o) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			const many = 300
+			e, s := begin(t, func(o *Options) { o.MaxOps = 2 * many })
+			over := 0
+			for i := range many {
+				o := s.op(fmt.Sprint("op", i), i%3)
+				o.Over = func() { over++ }
+				play(e, o)
+			}
+			stop, ended := make(chan struct{}), make(chan struct{})
+			go func() { e.Run(stop); close(ended) }() // it comes to all of them only now
+			c := settled(e)
+			close(stop)
+			<-ended
+			if c.Left != many || c.Sent != 0 || over != many || e.ops.Load() != 0 || e.bytes.Load() != 0 || s.lines("push") != 0 {
+				t.Errorf("%d over, %d held: %+v", over, e.ops.Load(), c)
+			}
+		})
+	}
+}
+
+// Danger: between an op's arrival and its push its client may leave; the word of that stands in the queue still.
+func TestAPushForAClientThatHasJustLeft(t *testing.T) {
+	e, s := play(t, nil)
+	o := s.op("a", 0)
+	e.Submit(o)
+	at := s.await(0, "push cache")
+	held, seen := make(chan bool), make(chan bool)
+	e.Do(func(*Engine) { close(seen); <-held })
+	<-seen
+	s.answer(at, Result{Outcome: policy.Full}) // another cache would be asked
+	e.Leave(o)
+	close(held)
+	if c := settled(e); c.Left+c.Nacked != 1 || c.Sent != 1 || s.lines("push") != 1 || e.ops.Load() != 0 {
+		t.Errorf("%+v", c)
+	}
+}
+
+// Danger: a push that dials, or waits for another connection, as its cache begins to drain is written when the grace is over.
+func TestADrainTakesBackWhatIsNotWritten(t *testing.T) {
+	at := func(id uint32, state policy.State, change func(*Member)) Member {
+		m := member(id, state)
+		if change != nil {
+			change(&m)
+		}
+		return m
+	}
+	for name, list := range map[string]struct {
+		kind    policy.ListKind
+		members func(first, other uint32) []Member
+		again   bool // the same cache may be asked again
+	}{
+		"drains": {policy.ListDelta, func(f, o uint32) []Member { return []Member{at(f, policy.Draining, nil)} }, false},
+		"drains, by the whole list": {policy.ListFull, func(f, o uint32) []Member {
+			return []Member{at(f, policy.Draining, nil), member(o, policy.Ready), member(9, policy.Ready)}
+		}, false},
+		"has gone": {policy.ListDelta, func(f, o uint32) []Member { return []Member{at(f, policy.Gone, nil)} }, false},
+		"is missing": {policy.ListFull, func(f, o uint32) []Member {
+			return []Member{member(o, policy.Ready), member(9, policy.Ready)}
+		}, false},
+		"has moved": {policy.ListDelta, func(f, o uint32) []Member {
+			return []Member{at(f, policy.Ready, func(m *Member) { m.Addr = "elsewhere" })}
+		}, true},
+		"is replaced": {policy.ListDelta, func(f, o uint32) []Member {
+			return []Member{at(f, policy.Ready, func(m *Member) { m.Start = 1 })}
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e, s := play(t, nil)
+			e.Submit(s.op("a", 0))
+			pushed := s.await(0, "push cache")
+			first, other := uint32(1), uint32(2)
+			if s.cache(pushed) != "cache1" {
+				first, other = 2, 1
+			}
+			s.mu.Lock()
+			s.unwritten = true
+			s.mu.Unlock()
+			e.List(list.kind, list.members(first, other))
+			back := s.await(pushed, "taken back "+s.cache(pushed)+" a")
+			again := s.await(back, "push ")
+			if !list.again && s.cache(again) == s.cache(pushed) {
+				t.Errorf("pushed again to %s", s.cache(again))
+			}
+			s.answer(again, Result{Outcome: policy.Acked, Value: []byte("v")})
+			s.await(again, "acked a v")
+		})
+	}
+}
+
+// What is written stays: a drain is no cancelling.
+func TestADrainLeavesWhatIsWritten(t *testing.T) {
+	e, s := play(t, nil)
+	e.Submit(s.op("a", 2))
+	at := s.await(0, "push cache")
+	e.List(policy.ListDelta, []Member{member(1, policy.Draining), member(2, policy.Draining)})
+	settled(e)
+	s.answer(at, Result{Outcome: policy.Acked, Value: []byte("v")})
+	s.await(at, "acked a v")
+	if s.lines("push") != 1 || s.lines("taken back") != 0 {
+		t.Error(s.log)
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -230,8 +231,9 @@
 	return nil
 }
 
-// Leave tells that an op's client has gone away.
+// Leave tells that an op's client has gone away. It may come ahead of the op's own Submit.
 func (e *Engine) Leave(o *Op) {
+	o.Request.Leave()
 	e.queue.put(func() {
 		if h := o.held; h != nil && !h.over {
 			e.Counters.Left++
@@ -243,6 +245,16 @@
 }
 
 func (e *Engine) arrived(o *Op, size int64) {
+	if o.Request.Left() { // before the engine came to it: there is nobody to answer, and nothing has begun
+		e.Counters.Taken++
+		e.Counters.Left++
+		if o.Over != nil {
+			o.Over()
+		}
+		e.ops.Add(-1)
+		e.bytes.Add(-size)
+		return
+	}
 	at := e.offset + policy.Time(o.At.Sub(e.origin)/unit)
 	// No client waits longer than its category's TTL, whatever it says; else a slip there would hold memory.
 	left := policy.Time(o.Left / unit)
@@ -281,8 +293,43 @@
 	e.forget(h)
 }
 
-// end marks an op as over: the one place through which each op goes once.
-func (e *Engine) end(h *op) { h.over = true }
+// end marks an op as over: the one place through which each op goes once. Danger: a push that still dials, or waits for
+// another connection, would be written after the op's answer or its client's leaving. To take it back is no cancelling:
+// no server has heard of it.
+func (e *Engine) end(h *op) {
+	h.over = true
+	for _, p := range h.out {
+		if p.giveUp(true) {
+			e.later = append(e.later, func() { e.withdrawn(h, p) })
+		}
+	}
+}
+
+// withdrawn tells of a push that was taken back before a byte of it was written.
+func (e *Engine) withdrawn(h *op, p *push) {
+	if slices.Contains(h.out, p) {
+		e.Counters.Withdrawn++
+		e.ended(h, p, Result{Outcome: policy.Moot})
+	}
+}
+
+// withdraw takes back all pushes to some caches that are not written yet. The module knows by then that nothing goes there.
+func (e *Engine) withdraw(caches map[uint32]bool) {
+	if len(caches) == 0 {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(e.held)) { // the module is told in the same order each time
+		h := e.held[id]
+		if h == nil {
+			continue
+		}
+		for _, p := range slices.Clone(h.out) {
+			if caches[p.to] && p.giveUp(true) {
+				e.withdrawn(h, p)
+			}
+		}
+	}
+}
 
 // forget lets go of an op that is over and has nothing out.
 func (e *Engine) forget(h *op) {
@@ -344,12 +391,14 @@
 func (e *Engine) list(kind policy.ListKind, members []Member) {
 	e.Counters.Lists++
 	entries := make([]policy.Entry, 0, len(members))
+	shut := map[uint32]bool{} // caches to which nothing goes any more, or no longer there
 	if kind == policy.ListFull || kind == policy.ListCached {
 		for id, s := range e.servers { // who is missing from a whole list is gone
 			if !slices.ContainsFunc(members, func(m Member) bool { return m.ID == id }) {
 				s.Retire()
 				delete(e.servers, id)
 				e.leave(s)
+				shut[id] = true
 			}
 		}
 	}
@@ -368,16 +417,21 @@
 			// written to it would wait in vain. What is out there still ends by itself.
 			s.Retire()
 			delete(e.servers, m.ID)
-			s = nil
+			s, shut[m.ID] = nil, true
 		}
 		if s == nil && m.State != policy.Gone {
 			e.servers[m.ID] = &server{Server: e.Connect(m), start: m.Start}
 		}
 		if s = e.servers[m.ID]; s != nil {
+			if m.State == policy.Draining && s.member.State != policy.Draining {
+				shut[m.ID] = true
+			}
 			s.member = m
 		}
 	}
 	e.module.ListArrived(kind, entries)
+	// Danger: a connection that comes up late, or follows a stale one, would carry a push there after the drain's grace.
+	e.withdraw(shut)
 	e.recall()
 }
 
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -22,7 +22,7 @@
 		until = h.ttl
 	}
 	s := e.servers[cache]
-	if h.over || h.n > h.most || until <= e.now || s == nil {
+	if h.over || h.Request.Left() || h.n > h.most || until <= e.now || s == nil {
 		e.later = append(e.later, func() { e.ended(h, p, Result{Outcome: policy.Moot}) })
 		return
 	}
--- a/internal/engine/out.go
+++ b/internal/engine/out.go
@@ -272,15 +272,5 @@
 	}
 	// Danger: a push that still waits for its connection would be written after the operator was told yes. Also those
 	// over a connection pool of the same cache that the list has replaced.
-	for _, id := range slices.Sorted(maps.Keys(e.held)) { // the module is told in the same order each time
-		h := e.held[id]
-		if h == nil {
-			continue
-		}
-		for _, p := range slices.Clone(h.out) {
-			if p.to == s.member.ID && p.giveUp(true) {
-				e.ended(h, p, Result{Outcome: policy.Moot})
-			}
-		}
-	}
+	e.withdraw(map[uint32]bool{s.member.ID: true})
 }
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"math"
+	"sync/atomic"
 	"time"
 
 	"minttray/decide/evidence"
@@ -21,8 +22,16 @@
 	Value   []byte
 	Parts   [][]byte // a value that is longer than Whole, in its place
 	Probe   bool     // no op, but the question for a load report
+
+	left atomic.Bool
 }
 
+// Left tells whether the op's client has gone away: no byte of it is sent from there on, however far behind the engine is.
+func (r *Request) Left() bool { return r.left.Load() }
+
+// Leave tells that it has.
+func (r *Request) Leave() { r.left.Store(true) }
+
 // Whole is the longest value that is held in one piece, Longest that there is.
 const (
 	Whole   = 64 << 10
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -148,7 +148,7 @@
 	c := dial(t, f)
 	c.send(words("cache.set", "7f3a9c21e0b4d655", "id1", "d=480,c=put,size=9,r=1,t=acme", "a value"))
 	o := wait(t, e.taken)
-	r := o.Request
+	r := &o.Request
 	if o.Key != 0x7f3a9c21e0b4d655 || o.Category != 1 || o.Tenant != 0 || o.Left != 480*time.Millisecond || !r.Write ||
 		r.ID != "id1" || string(r.Value) != "a value" || r.Props[r.Wait[0]:r.Wait[1]] != "480" {
 		t.Errorf("%+v", o)
--- /dev/null
+++ b/internal/pool/endings_test.go
@@ -0,0 +1,206 @@
+package pool_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"minttray/internal/caches"
+	"minttray/internal/engine"
+	"minttray/internal/pool"
+	"minttray/policy"
+)
+
+// shut is a server whose SYNs are not taken up before open is called; seen counts bytes that came over its connections, and
+// ups those connections but for the one that fills its queue.
+type shut struct {
+	addr      string
+	open      func()
+	seen, ups atomic.Int64
+}
+
+func shutServer(t *testing.T) *shut {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := os.NewFile(uintptr(fd), "shut")
+	defer f.Close()
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.FileListener(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s := &shut{addr: l.Addr().String()}
+	for full := false; !full; { // until a SYN is left in the air
+		c, err := net.DialTimeout("tcp", s.addr, 200*time.Millisecond)
+		if full = err != nil; !full {
+			t.Cleanup(func() { c.Close() })
+			s.ups.Add(-1)
+		}
+	}
+	s.open = func() {
+		if raw, err := l.(*net.TCPListener).SyscallConn(); err == nil {
+			raw.Control(func(fd uintptr) { unix.Listen(int(fd), 1024) }) // all that knock come in together
+		}
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				s.ups.Add(1)
+				go func() {
+					defer c.Close()
+					for r := bufio.NewReader(c); ; {
+						if _, err := r.Peek(1); err != nil {
+							return
+						}
+						s.seen.Add(1)
+						if _, err := command(r); err != nil {
+							return
+						}
+						io.WriteString(c, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
+					}
+				}()
+			}
+		}()
+	}
+	return s
+}
+
+// knocking counts connections to the server that are being made.
+func (s *shut) knocking(t *testing.T) (n int) {
+	t.Helper()
+	text, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, port, _ := net.SplitHostPort(s.addr)
+	number, _ := strconv.Atoi(port)
+	for _, line := range strings.Split(string(text), "\n") {
+		const to, state, synSent = 2, 3, "02"
+		if f := strings.Fields(line); len(f) > state && f[state] == synSent && strings.HasSuffix(f[to], fmt.Sprintf(":%04X", number)) {
+			n++
+		}
+	}
+	return n
+}
+
+// until waits for an event; no verdict hangs on how long that takes.
+func until(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for late := time.Now().Add(patience); !is(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(late) {
+			t.Fatalf("not %s", what)
+		}
+	}
+}
+
+// Danger: a push whose connection is still coming up when it is given up, or when its client leaves, is written as the connection
+// is up, seconds later. All of them are forced: not one connection is up before all clients have left.
+func TestNothingIsWrittenOnceTheConnectionIsUp(t *testing.T) {
+	const many = 40
+	for name, end := range map[string]func(r *engine.Request, giveUp func(bool) bool) bool{
+		"taken back":          func(_ *engine.Request, giveUp func(bool) bool) bool { return giveUp(true) },
+		"given up":            func(_ *engine.Request, giveUp func(bool) bool) bool { return giveUp(false) },
+		"its client has left": func(r *engine.Request, _ func(bool) bool) bool { r.Leave(); return true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := shutServer(t)
+			s := shared()
+			s.Dial = patience
+			s.Sockets.Store(2 * many)
+			p := pool.New(s, server.addr, caches.Protocol{})
+			var ended []chan engine.Result
+			var ends []func() bool
+			before := server.knocking(t)
+			for i := range many {
+				r := request(fmt.Sprint("id", i))
+				results, giveUp := push(p, r)
+				ended, ends = append(ended, results), append(ends, func() bool { return end(r, giveUp) })
+			}
+			until(t, "under way", func() bool { return server.knocking(t) >= before+many })
+			for _, end := range ends {
+				if !end() {
+					t.Error("not given up, though nothing is written")
+				}
+			}
+			server.open()
+			until(t, "up", func() bool { return server.ups.Load() >= many })
+			if name == "its client has left" {
+				for _, results := range ended {
+					if r := wait(t, results); r.Outcome != policy.Moot {
+						t.Errorf("%+v", r)
+					}
+				}
+			}
+			results, _ := push(p, request("last")) // the way is open, and the count counts
+			if r := wait(t, results); r.Outcome != policy.Acked || server.seen.Load() != 1 {
+				t.Errorf("%+v; %d commands were written", r, server.seen.Load())
+			}
+		})
+	}
+}
+
+// Danger: a connection that the server has ended is found so as the push is about to be written; the push goes over another, which
+// takes its time, and would be written after its end.
+func TestNothingIsWrittenBehindAStaleConnection(t *testing.T) {
+	var second atomic.Bool
+	held, seen := make(chan bool), make(chan string, 9)
+	addr := listen(t, func(n int, c net.Conn) {
+		r := bufio.NewReader(c)
+		if n > 0 {
+			second.Store(true)
+		}
+		for {
+			words, err := command(r)
+			if err != nil {
+				return
+			}
+			seen <- words[2]
+			io.WriteString(c, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
+			if n == 0 {
+				<-held // it ends now
+				return
+			}
+		}
+	})
+	s := shared()
+	p := pool.New(s, addr, caches.Protocol{})
+	results, _ := push(p, request("a"))
+	wait(t, results)
+	wait(t, seen)
+	close(held)
+	settled()
+	r := request("b")
+	r.Leave()
+	results, _ = push(p, r)
+	if res := wait(t, results); res.Outcome != policy.Moot || s.Stale.Load() != 1 {
+		t.Errorf("%+v, %d stale", res, s.Stale.Load())
+	}
+	results, _ = push(p, request("c"))
+	if res := wait(t, results); res.Outcome != policy.Acked {
+		t.Errorf("%+v", res)
+	}
+	if id := wait(t, seen); id != "c" || !second.Load() {
+		t.Errorf("%s was written", id)
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -220,7 +220,8 @@
 	}
 	c.used = true
 	p.mu.Lock()
-	if out.givenUp {
+	if out.givenUp || out.request.Left() {
+		// Its client may have left while the engine is behind: what has not begun does not begin any more.
 		p.mu.Unlock()
 		c.end(out, how, errGivenUp)
 		return
