A client's leaving is seen where nothing is read from it; a connection in use never makes way

Cause, by review: a reader stops as its connection is to end (goOn, stop), waits in reserve while 256 commands are open, or in long for room; meanwhile nobody saw the client's end, and its ops were pushed, retried and answered for nobody, after SIGTERM up to their TTL. And admit chose a connection that makes way under the mutexes, but dropped it after letting go of both: a command that came in between was handed in, perhaps pushed, and lost its client by our own hand (dispensable, old.drop).

Passed on: a tick that looks at all such connections (50 ms late, and work for idle ones); reading and throwing away (takes commands that may still be wanted). A client that only closes its sending side counts as gone, as before: the two can't be told apart.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -61,6 +61,8 @@
 	last      bool // all is answered and our side is closed: only the client's end is waited for
 	unread    bool // the reader has stopped: no further command is taken
 	ended     bool
+
+	stopped chan struct{} // closed once the reader is done with the connection
 }
 
 // slot is one command's place in the order of answers. It is the op's Replier.
@@ -128,7 +130,7 @@
 }
 
 func newConn(f *Front, nc net.Conn) *conn {
-	c := &conn{front: f, nc: nc, wake: make(chan struct{}, 1), born: time.Now()}
+	c := &conn{front: f, nc: nc, wake: make(chan struct{}, 1), stopped: make(chan struct{}), born: time.Now()}
 	c.used = c.born
 	c.room.L = &c.mu
 	return c
@@ -137,6 +139,8 @@
 // read takes commands until the client goes away or the framing is lost. It goes on while ops are open, so that
 // the engine hears at once of a client that has left.
 func (c *conn) read() {
+	defer close(c.stopped)
+	defer c.attend(func() bool { return !c.owing() }, func() {}) // what is still open may lose its client
 	defer func() {
 		if fault := recover(); fault != nil {
 			c.front.panicked(c, fault)
@@ -163,7 +167,7 @@
 			c.end(&c.front.malformed, err)
 			return
 		}
-		if err != nil {
+		if err != nil || !c.got() {
 			c.drop()
 			return
 		}
@@ -215,6 +219,15 @@
 	return nil
 }
 
+// got notes that something has been read which has no place yet; false: the connection has ended meanwhile. Danger: a
+// connection that made way just then would lose a command that it has read, and may have handed in.
+func (c *conn) got() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.half = true
+	return !c.ended
+}
+
 // late is called when the reader's time ran out; it tells whether to read on.
 func (c *conn) late() bool {
 	c.mu.Lock()
@@ -355,11 +368,22 @@
 	return c.bad(&c.front.malformed, errors.New("unknown command '"+name+"'"))
 }
 
+// crowded tells whether a further command has to wait; the mutex is held.
+func (c *conn) crowded() bool { return len(c.slots) >= mostWaiting || c.piled >= mostPiled }
+
 // reserve appends a slot, once there is room; false means that the connection has ended.
 func (c *conn) reserve(s *slot) bool {
 	c.mu.Lock()
-	for (len(c.slots) >= mostWaiting || c.piled >= mostPiled) && !c.ended {
-		c.room.Wait()
+	if c.crowded() && !c.ended {
+		c.mu.Unlock()
+		end := c.watch(func() {})
+		c.mu.Lock()
+		for c.crowded() && !c.ended {
+			c.room.Wait()
+		}
+		c.mu.Unlock()
+		end()
+		c.mu.Lock()
 	}
 	if c.ended {
 		c.mu.Unlock()
@@ -506,7 +530,7 @@
 func (c *conn) endReading() {
 	if !c.ending {
 		c.ending = true
-		c.nc.SetReadDeadline(time.Unix(1, 0))
+		c.nc.SetReadDeadline(passed)
 	}
 }
 
@@ -543,6 +567,8 @@
 		c.mu.Lock()
 		c.last = true
 		c.mu.Unlock()
+		c.nc.SetReadDeadline(passed)
+		<-c.stopped // from here on this goroutine reads
 		c.nc.SetReadDeadline(time.Now().Add(linger))
 		scrap := make([]byte, 4<<10)
 		for read := 0; read < mostScrap; {
@@ -555,9 +581,25 @@
 	c.drop()
 }
 
+// makeWay drops the connection for another's sake, unless something came on it meanwhile, and tells whether it did.
+func (c *conn) makeWay() bool {
+	c.mu.Lock()
+	if c.ended || !c.last && (c.ending || c.half || len(c.slots) > 0) {
+		c.mu.Unlock()
+		return false
+	}
+	c.close()
+	return true
+}
+
 // drop closes the connection at once. Ops that are still open have lost their client.
 func (c *conn) drop() {
 	c.mu.Lock()
+	c.close()
+}
+
+// close is drop with the mutex held; it lets go of that.
+func (c *conn) close() {
 	if c.ended {
 		c.mu.Unlock()
 		return
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -47,6 +47,7 @@
 	piled, buffered atomic.Int64 // bytes, of unread answers and of the connections' buffers
 
 	long  *semaphore.Weighted
+	room  time.Duration // a long value waits so long for its bytes
 	names atomic.Pointer[Names]
 	phase atomic.Int32 // lifecycle.Phase
 	away  atomic.Bool  // clients are sent away: PING says no
@@ -69,7 +70,7 @@
 	}
 	f.Rename(f.Names)
 	f.listener, f.conns, f.changed = l, map[*conn]struct{}{}, make(chan struct{}, 1)
-	f.long = semaphore.NewWeighted(f.Long)
+	f.long, f.room = semaphore.NewWeighted(f.Long), longRoom
 	f.served = make(chan struct{})
 	return nil
 }
@@ -108,6 +109,8 @@
 const (
 	fresh   = 25 * time.Millisecond  // a client that has just connected, or been answered, is about to send
 	patient = 100 * time.Millisecond // for a descriptor to become free
+
+	longRoom = 2 * time.Second
 )
 
 // admit takes a new connection in. Where there is no room, another makes way at once: whoever waited for that in turn
@@ -127,10 +130,9 @@
 			f.conns[c] = struct{}{}
 		}
 		f.mu.Unlock()
-		if old != nil {
+		if old != nil && old.makeWay() {
 			// If a command crosses this, it was not taken, and its client sends it again.
 			f.evicted.Add(1)
-			old.drop()
 		}
 		if room {
 			go c.read()
@@ -241,7 +243,7 @@
 
 // Close ends listening. Danger: what stands in the queue as it closes is reset, so it is taken up to the last moment.
 func (f *Front) Close() {
-	f.listener.SetDeadline(time.Unix(1, 0))
+	f.listener.SetDeadline(passed)
 	<-f.served
 	for _, nc := range rest(f.listener) {
 		f.accepted.Add(1)
--- a/internal/front/long.go
+++ b/internal/front/long.go
@@ -12,7 +12,6 @@
 
 const (
 	partSize  = 64 << 10
-	longRoom  = 2 * time.Second  // for room for a long value
 	longValue = 20 * time.Second // for all of one
 )
 
@@ -29,9 +28,14 @@
 	c.mu.Lock()
 	c.half, c.heard = true, true
 	c.mu.Unlock()
-	room, cancel := context.WithTimeout(context.Background(), longRoom)
-	held := c.front.long.Acquire(room, int64(l.Size)) == nil
-	cancel()
+	held := c.front.long.TryAcquire(int64(l.Size))
+	if !held {
+		room, cancel := context.WithTimeout(context.Background(), c.front.room)
+		end := c.watch(cancel)
+		held = c.front.long.Acquire(room, int64(l.Size)) == nil
+		end()
+		cancel()
+	}
 	parts, err := c.parts(l.Size, held)
 	if err != nil {
 		if held {
