An agent of discovery that comes back is heard within three quarters of a second

Change: where lists are pushed, a call waits 1 s; behind a fault it asks with a wait of 50 ms and 450 ms more, at most 200 ms apart, each eighth with its whole patience; none is repeated by net/http. Where the list is asked for nothing changes.

Tests: TestAnAgentThatComesBackWithDrainsIsHeardAtOnce (before: it asked wait=5000 behind the fault), TestASlowAgentIsHeardBehindAFault; the queries that TestWholeListThenChanges and TestBrokenWatchIsReopened want are the new ones, as strictly.

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -113,7 +113,7 @@
 	if got = hear(t, tells); got.kind != policy.ListFull || len(got.members) != 1 {
 		t.Errorf("%+v", got)
 	}
-	for _, want := range []string{"", "index=41&wait=5000", "index=43&wait=5000", "index=44&wait=5000", "index=50&wait=5000"} {
+	for _, want := range []string{"", "index=41&wait=1000", "index=43&wait=1000", "index=44&wait=1000", "index=50&wait=1000"} {
 		if query := <-queries; query != want {
 			t.Errorf("asked %q, want %q", query, want)
 		}
@@ -145,8 +145,8 @@
 			t.Errorf("told %d: %+v", i, got)
 		}
 	}
-	// net/http may repeat a broken call by itself; here that does no harm.
-	for _, want := range []string{"", "index=41&wait=5000", "index=41&wait=5000", "index=41&wait=5000", "index=42&wait=5000", ""} {
+	// Behind a fault the calls are short, and net/http repeats none by itself.
+	for _, want := range []string{"", "index=41&wait=1000", "index=41&wait=50", "index=41&wait=50", "index=42&wait=1000", ""} {
 		if query := <-queries; query != want {
 			t.Errorf("asked %q, want %q", query, want)
 		}
@@ -164,7 +164,7 @@
 	defer l.Close()
 	w := New(l.Addr().String(), NewNames(nil, nil, zerolog.Nop()), false, zerolog.Nop())
 	w.Tell = func(policy.ListKind, []engine.Member) { panic("in the listener") }
-	if _, err := w.ask(context.Background(), http.DefaultClient, l.Addr().String(), nil); err == nil {
+	if _, err := w.ask(context.Background(), http.DefaultClient, l.Addr().String(), nil, false); err == nil {
 		t.Error("no word of it")
 	}
 }
@@ -378,3 +378,59 @@
 		}
 	}
 }
+
+// Danger: what an agent gets as it comes back after an outage counts as told just then: a call that still waits for the silent one,
+// or a long wait before the next, takes the drain's grace. The agent here falls silent under a watch, answers no call, and is back
+// with a drain: the next call behind a fault must be a short one.
+func TestAnAgentThatComesBackWithDrainsIsHeardAtOnce(t *testing.T) {
+	hold, silent := make(chan bool), make(chan string, 99)
+	defer close(hold)
+	var back atomic.Bool
+	w, tells := agent(t, false, func(n int, query string) string {
+		switch {
+		case n == 0:
+			return list(41, true, entry("x", "active"), entry("y", "active"))
+		case n == 1:
+			return "" // the watch breaks: the proxy knows that something is wrong
+		case !back.Load():
+			silent <- query
+			<-hold
+		}
+		return list(42, false, entry("x", "leaving"))
+	})
+	hear(t, tells)
+	for range 3 { // calls in vain
+		query := ""
+		select {
+		case query = <-silent:
+		case <-time.After(bound):
+			t.Fatal("not asked again")
+		}
+		if query != "index=41&wait=50" {
+			t.Errorf("asked %q behind a fault", query)
+		}
+	}
+	back.Store(true)
+	if got := hear(t, tells); got.kind != policy.ListDelta || got.members[0].State != policy.Draining {
+		t.Errorf("%+v", got)
+	}
+	if w.faults.Load() == 0 {
+		t.Error("no fault was counted")
+	}
+}
+
+// A slow agent is heard all the same: now and then a call is given its whole patience.
+func TestASlowAgentIsHeardBehindAFault(t *testing.T) {
+	var calls atomic.Int32
+	_, tells := agent(t, false, func(n int, query string) string {
+		if n == 0 {
+			return ""
+		}
+		calls.Add(1)
+		time.Sleep((atOnce + patience) / 2) // too slow for a short call, quick enough for a whole one
+		return list(1, true, entry("x", "active"))
+	})
+	if got := hear(t, tells); got.kind != policy.ListFull || calls.Load() < 2 {
+		t.Errorf("%+v after %d calls", got, calls.Load())
+	}
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"runtime/debug"
 	"strconv"
@@ -23,13 +24,20 @@
 )
 
 const (
-	wait      = 5 * time.Second // for news; short, so that an agent that went silent is asked again soon
-	patience  = time.Second     // past the wait
-	inTurn    = 3 * time.Second // past the wait, where calls wait in turn at a service that all proxies share
-	backOff   = 50 * time.Millisecond
-	backOffTo = time.Second
-	longest   = 1 << 20 // a list
+	wait     = 5 * time.Second // for news, of a service that all proxies share
+	patience = time.Second     // past the wait
+	inTurn   = 3 * time.Second // past the wait, where calls wait in turn at a service that all proxies share
+	backOff  = 50 * time.Millisecond
 
+	// An agent on the proxy's own machine answers at once and at no cost. Danger: what it gets as it comes back counts as told
+	// just then, and a drain's grace may be over before a long call to the silent agent is.
+	pushed    = time.Second            // the wait of a call
+	soon      = 50 * time.Millisecond  // the wait of one behind a fault
+	atOnce    = 450 * time.Millisecond // past the wait, there
+	backOffAt = 200 * time.Millisecond // between two such calls, at most
+	inFull    = 8                      // each of so many is given its whole patience, lest a slow agent is never heard
+
+	longest     = 1 << 20 // a list
 	longestHead = 16 << 10
 )
 
@@ -130,7 +138,7 @@
 			transport.CloseIdleConnections()
 		}
 		w.calls.Add(1)
-		next, err := w.ask(call, client, addr, version)
+		next, err := w.ask(call, client, addr, version, !w.Ask && faults%inFull > 0)
 		moved := call.Err() != nil
 		if err == nil {
 			done()
@@ -175,7 +183,7 @@
 		case <-call.Done(): // the new address is not kept waiting for the old one's faults
 		}
 		done()
-		back = min(2*back, backOffTo)
+		back = min(2*back, backOffAt)
 	}
 }
 
@@ -224,7 +232,8 @@
 	}
 }
 
-func (w *Watch) ask(ctx context.Context, client *http.Client, addr string, version *uint64) (next *uint64, err error) {
+// ask makes one call; quick: it is behind a fault, at an agent that should answer at once.
+func (w *Watch) ask(ctx context.Context, client *http.Client, addr string, version *uint64, quick bool) (next *uint64, err error) {
 	defer func() {
 		if fault := recover(); fault != nil {
 			w.Log.Error().Interface("panic", fault).Bytes("stack", debug.Stack()).Msg("panic on a list")
@@ -236,12 +245,27 @@
 	if w.Ask { // a call given up before its turn is work in vain there, and its repetition more of it
 		limit = inTurn
 	}
+	wait := wait
+	if quick {
+		limit, wait = atOnce, soon
+	} else if !w.Ask {
+		wait = pushed
+	}
 	if version != nil {
 		u.RawQuery = "index=" + strconv.FormatUint(*version, 10) + "&wait=" + strconv.Itoa(int(wait/time.Millisecond))
 		limit += wait
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	if !w.Ask {
+		// net/http sends a call that broke once more by itself: as a long one, to an agent that may be silent by now.
+		tries := 0
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GetConn: func(string) {
+			if tries++; tries > 1 {
+				cancel()
+			}
+		}})
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
 		return nil, err
