A watch that has fallen silent is opened anew at once where the list is asked for

Excluded: a push that was late by itself (9 pushes, all to caches that the list of 10.934 s names as draining), clocks (three proxies alike), the module (it pushes nothing to a draining cache once told). Cause: told at 7.27 s (2 s after the wait is over), grace until 10.27; discovery/watch.go gave the call 3 s past its wait (inTurn), and told the module that a call had failed, which waits 0 to 5 s before the next (Backoff, half of ask-every). Change: such a call ends 2 s past its wait; a watch that timed out is opened anew at once, once, with a wait of 50 ms. Calls that are refused, and all that follow, wait as before: a service that answers none is asked less. Test: TestASilentWatchIsOpenedAnewWhereTheListIsAskedFor; without the mend the third call does not come (it hears ListFailed first).

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -434,3 +434,38 @@
 		t.Errorf("%+v after %d calls", got, calls.Load())
 	}
 }
+
+// Danger: a watch that falls silent where the list is asked for is broken, and what it misses counts as told 2 s after its wait: the wait
+// between calls that failed would take the drains' grace. It is opened anew at once, with a short wait, and only once.
+func TestASilentWatchIsOpenedAnewWhereTheListIsAskedFor(t *testing.T) {
+	t.Parallel()
+	for name, again := range map[string]bool{"and is heard": true, "and is silent still": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			hold, queries := make(chan bool), make(chan string, 9)
+			defer close(hold)
+			w, tells := agent(t, true, func(n int, query string) string {
+				queries <- query
+				if n == 0 {
+					return list(7, true, entry("x", "active"))
+				}
+				if n == 2 && again {
+					return list(8, false, entry("x", "leaving"))
+				}
+				<-hold
+				return ""
+			})
+			w.Watch(true)
+			hear(t, tells)
+			got := hear(t, tells)
+			for _, want := range []string{"", "index=7&wait=5000", "index=7&wait=50"} {
+				if query := <-queries; query != want {
+					t.Errorf("asked %q, want %q", query, want)
+				}
+			}
+			if again && (got.kind != policy.ListDelta || got.members[0].State != policy.Draining) || !again && got.kind != policy.ListFailed {
+				t.Errorf("%+v", got)
+			}
+		})
+	}
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -26,7 +26,8 @@
 const (
 	wait     = 5 * time.Second // for news, of a service that all proxies share
 	patience = time.Second     // past the wait
-	inTurn   = 3 * time.Second // past the wait, where calls wait in turn at a service that all proxies share
+	inTurn   = 3 * time.Second // where calls wait in turn at a service that all proxies share
+	overdue  = 2 * time.Second // past the wait there: by then news counts as told, whether or not it came
 	backOff  = 50 * time.Millisecond
 
 	// An agent on the proxy's own machine answers at once and at no cost. Danger: what it gets as it comes back counts as told
@@ -119,6 +120,7 @@
 	var asked string // the address that version is of: versions of two agents need not compare
 	back, faults := backOff, 0
 	on := !w.Ask
+	reopen := false // the watch has just fallen silent
 	for ctx.Err() == nil {
 		for w.Ask && !on {
 			select {
@@ -138,12 +140,12 @@
 			transport.CloseIdleConnections()
 		}
 		w.calls.Add(1)
-		next, err := w.ask(call, client, addr, version, !w.Ask && faults%inFull > 0)
+		next, err := w.ask(call, client, addr, version, reopen || !w.Ask && faults%inFull > 0)
 		moved := call.Err() != nil
 		if err == nil {
 			done()
 			w.version.Store(*next)
-			if version, back = next, backOff; faults > 0 {
+			if version, back, reopen = next, backOff, false; faults > 0 {
 				if w.Ask { // the service is well: what decides when to ask hears so, also if there was no news
 					w.Tell(policy.ListDelta, nil)
 				}
@@ -174,7 +176,13 @@
 		}
 		if w.Ask {
 			done()
-			on = false
+			// Danger: a watch that has fallen silent has to be opened anew, and what it missed counts as told by now: the wait
+			// between calls that failed would take the drains' grace. Only once: a service that answers none is asked less.
+			if silent := errors.Is(err, context.DeadlineExceeded) && version != nil; silent && !reopen {
+				reopen = true
+				continue
+			}
+			on, reopen = false, false
 			w.Tell(policy.ListFailed, nil)
 			continue
 		}
@@ -246,9 +254,14 @@
 		limit = inTurn
 	}
 	wait := wait
-	if quick {
+	switch {
+	case w.Ask && quick:
+		wait = soon
+	case w.Ask && version != nil:
+		limit = overdue
+	case quick:
 		limit, wait = atOnce, soon
-	} else if !w.Ask {
+	case !w.Ask:
 		wait = pushed
 	}
 	if version != nil {
