Settings of other customers: figures below 0 are refused by name, lists are asked for in time

Cause: ask-every alone set how soon a proxy asks again behind a failed call, and on sockets news counts as told after 6 s whatever it says: over 12 s the first wait alone could pass that; without it the calls followed each other each 0.1 ms. Benefits, quotas, cold-from, fall-multiple and max-open below 0 were taken as they came. Nothing was found that knows a class, tenant, kind or zone. Tests: TestAnotherCustomersSettings (14 forms, three spans), twelve rows in TestFaults.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,7 @@
 	"strconv"
 
 	"minttray/internal/settings"
+	"minttray/policy"
 )
 
 // Config is one proxy's configuration.
@@ -47,6 +48,8 @@
 	return slices.DeleteFunc(settings.Names(reflect.TypeFor[file]()), func(name string) bool { return name == "settings" })
 }
 
+const mostAsk = policy.Time(8 * 10000) // 8 s, twice what is left of those 6 for a call that is answered late
+
 const leastSockets = 64 // listener, runtime, discovery, and a few for each side
 
 // Load reads the environment through get and the file that it names. Each error names the field.
@@ -120,6 +123,11 @@
 	if c.Settings, err = settings.Decode(f.Settings); err != nil {
 		return c, err
 	}
+	// Danger: on sockets news counts as told after 6 s, whatever the settings say of how often to ask, and a call that failed is
+	// followed by the next within half of that time.
+	if every := &c.Settings.Policy.AskEvery; *every == 0 || *every > mostAsk { // 0: not told, and no span to ask again in
+		*every = mostAsk
+	}
 	c.text, c.settings = text, f.Settings
 	return c, nil
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -69,6 +69,19 @@
 		{`"balancers":3`, `"balancers":-3`, "settings: balancers: "},
 		{`"balancers":3`, `"balancers":80000000`, "settings: balancers: "},
 		{`"balancers":3`, `"balancers":3,"index":-1`, "settings: index: "},
+		{`"benefit":2`, `"benefit":-2`, "settings: categories[0].benefit: "},
+		{`"benefit":2`, `"benefit":2,"tardy-benefit":-0.5`, "settings: categories[0].tardy-benefit: "},
+		{`"quota-rps":9`, `"quota-rps":-9`, "settings: tenants[0].quota-rps: "},
+		{`"max-open":20000`, `"max-open":-1`, "settings: limits.max-open: "},
+		{`"balancers":3`, `"balancers":3,"contract":{"cold-from":-0.1}`, "settings: contract.cold-from: "},
+		{`"balancers":3`, `"balancers":3,"contract":{"fall-multiple":-3}`, "settings: contract.fall-multiple: "},
+		{`"balancers":3`, `"balancers":3,"beyond-share-benefit":-1`, "settings: beyond-share-benefit: "},
+		{`"ttl-us":900000`, `"ttl-us":"long"`, "settings: json: cannot unmarshal string into Go struct field "},
+		{`"ttl-us":900000`, `"ttl-us":-900000`, "settings: json: cannot unmarshal number -900000 into Go struct field "},
+		{`"ttl-us":900000`, `"ttl-us":0`, "settings: categories[0].ttl-us: "},
+		{`"target-latency-us":300000`, `"target-latency-us":null`, "settings: categories[0].target-latency-us: "},
+		{`"categories":[{"name":"read","benefit":2,"effect":"read_like","target-latency-us":300000,
+"ttl-us":900000}]`, `"categories":null`, "settings: categories is empty"},
 	} {
 		_, err := load(t, strings.Replace(good, c.old, c.new, 1), map[string]string{"BALANCER_NAME": "n3"})
 		if err == nil || !strings.HasPrefix(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
@@ -82,6 +95,38 @@
 	}
 }
 
+// Another customer's settings: what they leave out, or say as null, zero or empty, is no fault, and neither is what nobody here knows.
+func TestAnotherCustomersSettings(t *testing.T) {
+	for _, c := range []struct{ old, new string }{
+		{`,"tenants":[{"name":"acme","quota-rps":9}]`, ""},
+		{`"tenants":[{"name":"acme","quota-rps":9}]`, `"tenants":null`},
+		{`"tenants":[{"name":"acme","quota-rps":9}]`, `"tenants":[]`},
+		{`,"zones":["a","b"]`, ""},
+		{`"zones":["a","b"]`, `"zones":null,"zone":null`},
+		{`"skus":["box","origin"],`, ""},
+		{`"limits":{"conn-idle-us":60000000,"connect-timeout-us":100000,"max-open":20000}`, `"limits":{}`},
+		{`"limits":{"conn-idle-us":60000000,"connect-timeout-us":100000,"max-open":20000}`, `"limits":null`},
+		{`"max-open":20000`, `"max-open":0,"most-pushes":null,"retry-after":false,"max-retry-after-us":0,"max-streams":1`},
+		{`"balancers":3`, `"balancers":null,"load-report":null,"contract":null,"deductions":null,"blend":null,"weights":"","discovery":"ask"`},
+		{`"balancers":3`, `"balancers":1,"load-report":{"fields":["qps","x1"],"how":"inline"},"a-field-of-theirs":{"deep":[1]}`},
+		{`"read"`, `"Lesen & mehr / 42%"`},
+		{`"benefit":2`, `"benefit":0,"group":"cell","dedup-window-us":0,"tardy-benefit":1`},
+		{`"ttl-us":900000`, `"ttl-us":100`},
+	} {
+		text := strings.Replace(good, c.old, c.new, 1)
+		got, err := load(t, text, map[string]string{"BALANCER_NAME": "n3"})
+		if p := got.Settings.Policy; text == good || err != nil || p.Proxies < 1 || p.MostPushes < 1 || p.Tick < 1 || p.AskEvery < 1 || p.Zones < 1 {
+			t.Errorf("%s for %s: %v, %+v", c.new, c.old, err, p)
+		}
+	}
+	for every, want := range map[string]int{"5000000": 50000, "60000000": 80000, "0": 80000} { // 6 s is all that news may take on sockets
+		text := strings.Replace(good, `"balancers":3`, `"balancers":3,"discovery":"ask","contract":{"ask-every-us":`+every+`}`, 1)
+		if c, err := load(t, text, map[string]string{"BALANCER_NAME": "n3"}); err != nil || int(c.Settings.Policy.AskEvery) != want {
+			t.Errorf("every %s: %d, %v", every, c.Settings.Policy.AskEvery, err)
+		}
+	}
+}
+
 // Danger: a reload half applied, or one that a value of the start's environment refuses; a file cut off or thinned by a slip.
 func TestReload(t *testing.T) {
 	env := map[string]string{"BALANCER_DISCOVERY": "127.2.0.1:8500"}
--- a/internal/daemon/endings_test.go
+++ b/internal/daemon/endings_test.go
@@ -201,7 +201,7 @@
 				for i, c := range conns[1:] {
 					leave[i%len(leave)](c)
 				}
-				time.Sleep(bound) // all that the rule gives: nothing else is waited for, lest ops end by their time meanwhile
+				time.Sleep(bound)        // all that the rule gives: nothing else is waited for, lest ops end by their time meanwhile
 				sent := func() (n int) { // for those that have left; the others' ops may go on
 					for _, g := range append([]*gate{origin}, caches...) {
 						n += g.count("last", "op0")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -118,15 +118,26 @@
 			return fmt.Errorf("%s: %q is none of %q", word.field, word.value, word.known[1:])
 		}
 	}
-	for _, price := range []struct {
+	type figure struct {
 		field string
 		value float64
-	}{
-		{"connection", c.Deductions.Connection}, {"cross-zone", c.Deductions.CrossZone},
-		{"handshake", c.Deductions.Handshake}, {"peer", c.Deductions.Peer}, {"probe", c.Deductions.Probe},
-	} {
-		if price.value < 0 {
-			return fmt.Errorf("deductions.%s: %v is below 0", price.field, price.value)
+	}
+	figures := []figure{
+		{"deductions.connection", c.Deductions.Connection}, {"deductions.cross-zone", c.Deductions.CrossZone},
+		{"deductions.handshake", c.Deductions.Handshake}, {"deductions.peer", c.Deductions.Peer},
+		{"deductions.probe", c.Deductions.Probe}, {"beyond-share-benefit", c.Beyond}, {"contract.cold-from", c.Contract.ColdFrom},
+		{"contract.fall-multiple", c.Contract.FallMultiple}, {"limits.max-open", float64(c.Limits.MaxOpen)},
+	}
+	for i, k := range c.Categories {
+		figures = append(figures, figure{fmt.Sprintf("categories[%d].benefit", i), k.Benefit},
+			figure{fmt.Sprintf("categories[%d].tardy-benefit", i), k.Tardy})
+	}
+	for i, t := range c.Tenants {
+		figures = append(figures, figure{fmt.Sprintf("tenants[%d].quota-rps", i), t.Quota})
+	}
+	for _, f := range figures {
+		if f.value < 0 {
+			return fmt.Errorf("%s: %v is below 0", f.field, f.value)
 		}
 	}
 	if n := c.Limits.MostPushes; n != nil && *n < 1 {
