A repeat is not written behind the window in which caches drop it

Cause, by review: the module lets a deduplicated op's repeat go within its window (allowed), but the push may still dial for as long as a connection may take to come up, 600 ms and more, and was then written behind the window: the op could run twice. Change: engine.Push withdraws such a repeat at the window's end, a tick early, unless a byte of it is written; the module hears that it never went. Test: TestARepeatIsNotWrittenBehindItsWindow; without the mend the repeat is held until the op's own time. A repeat whose first push never ran, and a redeliverable op's, go on.

--- a/internal/engine/endings_test.go
+++ b/internal/engine/endings_test.go
@@ -174,3 +174,40 @@
 		t.Error(s.log)
 	}
 }
+
+// Danger: a repeat is let go within the window in which caches drop it, and is written behind that, as its connection comes up late: the op
+// runs twice. A repeat that no window has run out for goes on.
+func TestARepeatIsNotWrittenBehindItsWindow(t *testing.T) {
+	for name, c := range map[string]struct {
+		effect policy.Effect
+		first  Result
+		taken  bool
+	}{
+		"deduplicated, and may have run":  {policy.Deduplicated, Result{Outcome: policy.Errored}, true},
+		"deduplicated, and has never run": {policy.Deduplicated, Result{Outcome: policy.Full}, false},
+		"redeliverable":                   {policy.Redeliverable, Result{Outcome: policy.Errored}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e, s := play(t, func(o *Options) {
+				o.Settings.Cancelling = false
+				o.Settings.Categories[2] = policy.Category{Effect: c.effect, Window: 5000, Target: 15000, TTL: 20000, Benefit: 1}
+			})
+			e.Submit(s.op("a", 2))
+			at := s.await(0, "push cache")
+			s.mu.Lock()
+			s.unwritten = true // from here on: the repeat's connection does not come up
+			s.mu.Unlock()
+			s.answer(at, c.first)
+			again := s.await(at+1, "push cache")
+			s.await(again, "taken back cache", "given up cache") // its window is over, or its time
+			if n := s.lines("taken back cache"); (n > 0) != c.taken {
+				t.Errorf("taken back: %d", n)
+			}
+			s.await(again, "dead-lettered a", "nacked a")
+			if n := s.lines("push cache"); n != 2 && c.taken {
+				t.Errorf("%d pushes", n)
+			}
+		})
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -81,8 +81,11 @@
 	n    int // pushes so far
 	most int // that it may have
 	out  []*push
-	over bool // answered, or its client has left
-	size int64
+
+	window policy.Time // for which a repeat is dropped; 0: the op is not deduplicated
+	ran    policy.Time // the first push that may have run; 0: none
+	over   bool        // answered, or its client has left
+	size   int64
 }
 
 type push struct {
@@ -262,6 +265,9 @@
 		left = min(left, longest)
 	}
 	h := &op{Op: o, ttl: at + left, size: size, most: e.Settings.MostPushes}
+	if c := e.Settings.Categories[o.Category]; c.Effect == policy.Deduplicated {
+		h.window = c.Window
+	}
 	for {
 		e.lastID++
 		if e.held[e.lastID] == nil && e.lastID != 0 {
@@ -359,6 +365,9 @@
 		return // given up before: its outcome was told then
 	}
 	h.out = append(h.out[:at], h.out[at+1:]...)
+	if !r.Outcome.NeverRan() && (h.ran == 0 || p.at < h.ran) {
+		h.ran = p.at
+	}
 	e.Counters.Pushes[r.Outcome]++
 	if r.Outcome == policy.Acked && !h.over {
 		e.Counters.Acked++
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"minttray/policy"
@@ -31,6 +32,15 @@
 		e.queue.put(func() { e.ended(h, p, r) })
 	})
 	e.timers.set(until, func() { e.drop(h, p, policy.TimedOut) })
+	if h.window > 0 && h.ran > 0 {
+		// Danger: the module let the repeat go within the window, and a connection that comes up late carries it out behind that:
+		// the op would run twice.
+		e.timers.set(h.ran+h.window-e.Settings.Tick, func() {
+			if slices.Contains(h.out, p) && p.giveUp(true) {
+				e.withdrawn(h, p)
+			}
+		})
+	}
 }
 
 // drop gives up a push that is still out. Its connection is closed before the module hears of it: no second
