A connection that its server is about to end for being idle is not used

Change: start passes such a connection over. Test: TestAConnectionAboutToEndForBeingIdleIsNotUsed (fails without: the connection is used again).

--- a/internal/pool/budget.go
+++ b/internal/pool/budget.go
@@ -43,6 +43,17 @@
 	return s.Dial
 }
 
+// fresh is since when a connection may have been idle and still be used. Danger: Sweep comes to an older one up to a second later, and
+// the server may be ending it as the next push is written: that may have run.
+func (s *Shared) fresh(now time.Time) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Idle <= 0 {
+		return time.Time{}
+	}
+	return now.Add(-s.Idle * 9 / 10)
+}
+
 // Open is the number of open connections.
 func (s *Shared) Open() int64 { return s.open.Load() }
 
@@ -86,8 +97,8 @@
 // Sweep closes idle connections that the servers have ended, or soon will: a push written as one closes counts as one
 // that may have run. It is called every second or so.
 func (s *Shared) Sweep(now time.Time) {
+	fresh := s.fresh(now)
 	s.mu.Lock()
-	longest := s.Idle
 	pools := make([]*Pool, 0, len(s.pools))
 	for p := range s.pools {
 		pools = append(pools, p)
@@ -96,7 +107,7 @@
 	for _, p := range pools {
 		p.mu.Lock()
 		for _, c := range append([]*conn(nil), p.idle...) {
-			if longest > 0 && now.Sub(c.since) > longest*9/10 || c.look() != nil {
+			if c.since.Before(fresh) || c.look() != nil {
 				s.Expired.Add(1)
 				c.close()
 			}
--- a/internal/pool/endings_test.go
+++ b/internal/pool/endings_test.go
@@ -249,3 +249,36 @@
 	}
 	t.Fatal("no second push was made in time: nothing is shown")
 }
+
+// Danger: a push is written on a connection that the server ends for having been idle just then; it may have run. One that is about to be
+// ended so is left alone, though Sweep has not come to it.
+func TestAConnectionAboutToEndForBeingIdleIsNotUsed(t *testing.T) {
+	addr := listen(t, func(n int, c net.Conn) {
+		for r := bufio.NewReader(c); ; {
+			if _, err := command(r); err != nil {
+				return
+			}
+			io.WriteString(c, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
+		}
+	})
+	s := shared()
+	p := pool.New(s, addr, caches.Protocol{})
+	ask := func(id string) {
+		t.Helper()
+		results, _ := push(p, request(id))
+		if res := wait(t, results); res.Outcome != policy.Acked {
+			t.Errorf("%+v", res)
+		}
+		settled()
+	}
+	ask("a")
+	ask("b")
+	if s.Opened.Load() != 1 || s.Reused.Load() != 1 {
+		t.Errorf("%d opened, %d used again", s.Opened.Load(), s.Reused.Load())
+	}
+	s.Tune(patience, 20*time.Millisecond) // the server has closed it by now, or is about to: it has rested for as long
+	ask("c")
+	if s.Opened.Load() != 2 || s.Reused.Load() != 1 {
+		t.Errorf("%d opened, %d used again", s.Opened.Load(), s.Reused.Load())
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -96,6 +96,7 @@
 }
 
 func (p *Pool) start(out *push) {
+	fresh := p.shared.fresh(time.Now()) // its mutex comes ahead of the pool's
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if out.givenUp {
@@ -103,7 +104,7 @@
 	}
 	settled := time.Now().Add(-settle)
 	for i := len(p.idle) - 1; i >= 0; i-- {
-		if c := p.idle[i]; c.since.Before(settled) {
+		if c := p.idle[i]; c.since.Before(settled) && c.since.After(fresh) {
 			p.idle = append(p.idle[:i], p.idle[i+1:]...)
 			c.take(out)
 			p.shared.Reused.Add(1)
