--- a/cmd/mintbase/main.go
+++ b/cmd/mintbase/main.go
@@ -12,6 +12,10 @@
 
 func main() {
 	name := os.Getenv("MINTBASE_RULE")
+	if name == baseline.Deaf {
+		fmt.Fprintln(os.Stderr, "mintbase:", baseline.ServeDeaf(os.Getenv("BALANCER_CONFIG")))
+		os.Exit(1)
+	}
 	if _, err := baseline.New(name, policy.Settings{}, 0, nil); err != nil {
 		fmt.Fprintln(os.Stderr, "mintbase: MINTBASE_RULE:", err)
 		os.Exit(2)
--- /dev/null
+++ b/lab/baseline/deaf.go
@@ -0,0 +1,102 @@
+package baseline
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/tidwall/redcon"
+)
+
+// Deaf is the name of a proxy that is no rule, but a planted fault of its own that no rule can bring about: it sends each op on after
+// a while, without a look whether its client is there still. The ledger has to find it.
+const Deaf = "deaf"
+
+// deafFor is how long it holds an op.
+const deafFor = 1200 * time.Millisecond
+
+// ServeDeaf runs it by a proxy's configuration file; it comes back with an error only.
+func ServeDeaf(path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	var c struct{ Listen, Discovery string }
+	if err := json.Unmarshal(text, &c); err != nil {
+		return err
+	}
+	client := http.Client{Timeout: 5 * time.Second}
+	resp, err := client.Get("http://" + c.Discovery + "/catalog/members")
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	var list struct {
+		Instances []struct {
+			HostPort, MachineType string
+		}
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+		return err
+	}
+	var caches []string
+	for _, in := range list.Instances {
+		if in.MachineType != "origin" {
+			caches = append(caches, in.HostPort)
+		}
+	}
+	if len(caches) == 0 {
+		return fmt.Errorf("no cache is listed")
+	}
+	var turn atomic.Uint64
+	return redcon.ListenAndServe(c.Listen, func(conn redcon.Conn, cmd redcon.Command) {
+		if name := strings.ToUpper(string(cmd.Args[0])); name == "PING" {
+			conn.WriteString("PONG")
+			return
+		}
+		time.Sleep(deafFor)
+		answer, err := ask(caches[turn.Add(1)%uint64(len(caches))], cmd.Raw)
+		if err != nil {
+			conn.WriteError("ERR " + err.Error())
+			return
+		}
+		conn.WriteRaw(answer)
+	}, nil, nil)
+}
+
+// ask sends a command to a cache and gives the value of its answer, as a client wants it.
+func ask(addr string, command []byte) ([]byte, error) {
+	c, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(2 * time.Second))
+	if _, err := c.Write(command); err != nil {
+		return nil, err
+	}
+	var all []byte
+	for buf := make([]byte, 4<<10); ; {
+		n, err := c.Read(buf)
+		all = append(all, buf[:n]...)
+		if whole, answer := redcon.ReadNextRESP(all); whole > 0 {
+			if answer.Type != redcon.Array {
+				return nil, fmt.Errorf("the cache refused")
+			}
+			var value []byte
+			answer.ForEach(func(part redcon.RESP) bool {
+				value = part.Raw
+				return false
+			})
+			return value, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
--- a/lab/ledger/judge.go
+++ b/lab/ledger/judge.go
@@ -41,6 +41,7 @@
 	Drained  = "drained"   // pushed to a drained or gone cache after the grace, or to one that an operator took out
 	PushedIn = "cold-push" // a cold cache pushed over
 	HeldBack = "held-back" // a final answer that was kept back with nothing out
+	SentOn   = "sent-on"   // pushed though its client had left
 )
 
 // Finding is one broken rule, with the history that shows it.
@@ -75,6 +76,7 @@
 const (
 	keep         = 3 * time.Second // an op is kept so long past its TTL, to see what still comes for it
 	mostFindings = 20
+	leftWithin   = 300 * time.Millisecond // from a client's leaving until nothing is sent on for it
 )
 
 type entry struct {
@@ -260,13 +262,15 @@
 	var sent, first Record
 	var answers []Record
 	var pushes []push
-	left := time.Duration(-1)
+	left, closed := time.Duration(-1), time.Duration(-1)
 	for _, r := range e.events {
 		switch r.Kind {
 		case Sent:
 			sent = r
 		case Left:
-			left = r.At
+			if left = r.At; r.A == 1 {
+				closed = r.At
+			}
 		case Answer:
 			answers = append(answers, r)
 		case Push:
@@ -322,6 +326,11 @@
 	}
 	j.copies(e, c, pushes, answers)
 	j.drains(e, sent.A, pushes)
+	for _, p := range pushes {
+		if closed >= 0 && p.At > closed+leftWithin+j.terms.Slack && !j.stood(sent.A, closed, p.At) && !overlap(j.blind, closed, p.At) {
+			j.find(SentOn, e, "pushed %v after its client had left", p.At-closed)
+		}
+	}
 	if len(answers) == 0 {
 		return
 	}
--- a/lab/ledger/ledger.go
+++ b/lab/ledger/ledger.go
@@ -21,7 +21,7 @@
 const (
 	Sent     Kind = iota // an op's last byte is written to an accepted connection: A proxy life, B category, C wait in µs
 	Answer               // its client got: A an Answers value, B come-back in ms
-	Left                 // its client went away by itself
+	Left                 // its client went away by itself: A 1 if it closed its connection, and the way to the proxy is whole
 	Push                 // a server has a push's last byte: A server, B connection, C work in µs
 	Over                 // a push is over there: A server, B connection, C an Ends value
 	Told                 // a proxy was told of a server: A proxy life, B server, C a States value
--- a/lab/ledger/ledger_test.go
+++ b/lab/ledger/ledger_test.go
@@ -56,6 +56,8 @@
 				r.B, r.C = 1000, 1
 			case strings.HasPrefix(x, "meant"):
 				r.C = 1
+			case x == "closing":
+				r.A = 1
 			case hows[x] > 0 || x == "answered" || x == "active":
 				r.C = hows[x]
 			case x[0] == 'p':
@@ -79,6 +81,12 @@
 		{"served", "0 sent; 5 push s1 c1; 20 over s1 c1 answered; 21 acked", ""},
 		{"a miss, then the origin", "0 sent; 5 push s1 c1; 8 over s1 c1 missed; 9 push s0 c2; 40 over s0 c2 answered; 41 acked", ""},
 		{"the client goes away", "0 sent; 5 push s1 c1; 30 left; 31 over s1 c1 dropped", ""},
+		{"sends on for a client that has left", "0 sent; 5 push s1 c1; 30 left closing; 20 over s1 c1 refused; 341 push s2 c2; 350 over s2 c2 answered", SentOn},
+		{"sends on for it before it can know", "0 sent; 5 push s1 c1; 30 left closing; 20 over s1 c1 refused; 339 push s2 c2; 350 over s2 c2 answered", ""},
+		{"sends on first for one that has left", "0 sent; 30 left closing; 341 push s2 c2; 350 over s2 c2 answered", SentOn},
+		{"sends on for it, having stood still", "0 sent; 30 left closing; 20 stalled p1 meant; 340 stalled p1; 341 push s2 c2; 350 over s2 c2 answered", ""},
+		{"what it began runs on", "0 sent cat1; 5 push s1 c1; 30 left closing; 390 over s1 c1 answered", ""},
+		{"a client that is beyond a broken way", "0 sent; 5 push s1 c1; 30 left; 20 over s1 c1 refused; 341 push s2 c2; 350 over s2 c2 answered", ""},
 		{"stands still with the op in hand", "0 sent; 5 push s1 c1; 10 stalled p1 meant; 20 over s1 c1 answered; 600 stalled p1", ""},
 		{"answers late, having stood still", "0 sent; 5 push s1 c1; 10 stalled p1 meant; 20 over s1 c1 answered; 600 stalled p1; 601 acked", ""},
 		{"another stands still", "0 sent; 5 push s1 c1; 10 stalled p2 meant; 20 over s1 c1 answered; 600 stalled p2", Lost},
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -188,7 +188,7 @@
 		return answer{how: silence}
 	}
 	if leave > 0 {
-		l.book.Put(ledger.Record{Kind: ledger.Left, At: l.now(), Op: id})
+		l.book.Put(ledger.Record{Kind: ledger.Left, At: l.now(), Op: id, A: 1})
 		return answer{how: left}
 	}
 	l.meter.Try(age, again, c.Benefit, false)
--- a/lab/run/sites_test.go
+++ b/lab/run/sites_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"minttray/lab/baseline"
 	"minttray/lab/experiment"
 	"minttray/lab/ledger"
 	"minttray/lab/measure"
@@ -53,8 +54,8 @@
 }
 
 // Planted faults: a rule that gives a returned site its seats back at once, so that all proxies together push its cold caches
-// over; one that sends an at-most-once op on to another site as the ways to the first are reset. Both are found, and the module,
-// told the same terms on the same day, does neither.
+// over; one that sends an at-most-once op on to another site as the ways to the first are reset; a proxy that sends ops on for clients
+// that have left. All are found, and the module, told the same terms on the same day, does none.
 func TestPlantedFaults(t *testing.T) {
 	daemon := build(t, "minttray")
 	for name, c := range map[string]struct {
@@ -63,6 +64,7 @@
 	}{
 		"seats at once": {"rendezvous", ledger.PushedIn, "site-lost-short", []string{"caches.cold_from=0.05", "caches.warm_up=8s", "rules.fall_multiple=1", "load.rate=900"}},
 		"sent on":       {"reckless", ledger.Copies, "site-cut-short", []string{"caches.mode=\"through\"", "load.rate=600"}},
+		"for nobody":    {baseline.Deaf, ledger.SentOn, "smoke", []string{"caches.mode=\"through\"", "clients.leave=0.5", "rules.slack=\"200ms\"", "load.rate=40"}},
 	} {
 		for _, rule := range []string{c.rule, "minttray"} {
 			t.Run(name+", "+rule, func(t *testing.T) {
@@ -77,6 +79,13 @@
 						x.Fault = append(x.Fault, experiment.Fault{Kind: "reset", Zone: "b", At: experiment.Span(time.Duration(n+1) * 500 * time.Millisecond)})
 					}
 				}
+				if name == "for nobody" { // clients that wait for long, and leave early
+					x.Fault = nil
+					for i := range x.Category {
+						c := &x.Category[i]
+						c.TTL, c.Target, c.Work = experiment.Span(4*time.Second), experiment.Span(3*time.Second), experiment.Span(500*time.Millisecond)
+					}
+				}
 				o := Options{Dir: t.TempDir(), Command: []string{daemon}, Rule: rule, Stop: make(chan struct{})}
 				if rule != "minttray" {
 					o.Command, o.Env = []string{build(t, "mintbase")}, []string{"MINTBASE_RULE=" + rule}
@@ -85,6 +94,9 @@
 				if err != nil {
 					t.Fatal(err)
 				}
+				if name == "for nobody" && r.Verdict.Left == 0 {
+					t.Error("no client has left")
+				}
 				if rule == "minttray" && !r.Verdict.Kept() || rule != "minttray" && r.Verdict.Broken[c.breaks] == 0 {
 					t.Errorf("%s", r.Summary())
 				}
