--- a/internal/daemon/endings_test.go
+++ b/internal/daemon/endings_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -233,3 +236,50 @@
 		}
 	}
 }
+
+// Danger: a signal that crosses another, or the start itself, is lost, or ends a process that has not begun.
+func TestSignalsThatCross(t *testing.T) {
+	for name, signals := range map[string][]syscall.Signal{
+		"to end, before it is ready":       {syscall.SIGTERM},
+		"to end, twice before it is ready": {syscall.SIGTERM, syscall.SIGTERM},
+		"a reload, then to end":            {syscall.SIGHUP, syscall.SIGTERM},
+		"to end, then a reload":            {syscall.SIGTERM, syscall.SIGHUP, syscall.SIGUSR1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := stand(t)
+			var log bytes.Buffer
+			path := filepath.Join(s.dir, "config.json")
+			p := &process{s: s, path: path, signals: make(chan os.Signal, len(signals))}
+			p.write(s.config(p, "read"))
+			for _, sig := range signals {
+				p.signals <- sig // all of them stand there as it starts
+			}
+			ended := make(chan error, 1)
+			go func() {
+				ended <- run(func(name string) string { return map[string]string{"BALANCER_CONFIG": path}[name] }, p.signals, &log, module)
+			}()
+			// It listens all the same, for as long as its front may not know: who comes now is served.
+			var c net.Conn
+			for late := time.Now().Add(patience); c == nil && time.Now().Before(late); time.Sleep(time.Millisecond) {
+				if nc, err := net.Dial("tcp", s.addr); err == nil {
+					c = nc
+				} else if len(ended) > 0 {
+					break
+				}
+			}
+			if c == nil {
+				t.Fatalf("it never listened:\n%s", &log)
+			}
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(patience))
+			if body, err := get(c, bufio.NewReader(c), "k", "id"); body != "id" && !strings.HasPrefix(body, "-BUSY") {
+				t.Errorf("%q, %v", body, err)
+			}
+			c.Close()
+			if err := <-ended; err != nil || !strings.Contains(log.String(), `"message":"stopped"`) {
+				t.Errorf("%v\n%s", err, &log)
+			}
+		})
+	}
+}
