The first list and all calls behind a fault are short; an answer that stops midway ends by its time

Change: 0.25 s for each such call, 0.1 s between two at most, each sixteenth with 1 s for its answer: 0.35 s late at most for fifteen of sixteen.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -33,10 +33,10 @@
 	// An agent on the proxy's own machine answers at once and at no cost. Danger: what it gets as it comes back counts as told
 	// just then, and a drain's grace may be over before a long call to the silent agent is.
 	pushed    = time.Second            // the wait of a call
-	soon      = 50 * time.Millisecond  // the wait of one behind a fault
-	atOnce    = 450 * time.Millisecond // past the wait, there
-	backOffAt = 200 * time.Millisecond // between two such calls, at most
-	inFull    = 8                      // each of so many is given its whole patience, lest a slow agent is never heard
+	soon      = 20 * time.Millisecond  // the wait of one behind a fault
+	atOnce    = 230 * time.Millisecond // past the wait, there and for the first list
+	backOffAt = 100 * time.Millisecond // between two such calls, at most
+	inFull    = 16                     // one of so many is given its whole patience, lest a slow agent is never heard
 
 	longest     = 1 << 20 // a list
 	longestHead = 16 << 10
@@ -140,7 +140,7 @@
 			transport.CloseIdleConnections()
 		}
 		w.calls.Add(1)
-		next, err := w.ask(call, client, addr, version, reopen || !w.Ask && faults%inFull > 0)
+		next, err := w.ask(call, client, addr, version, reopen || !w.Ask && (version == nil || faults > 0), faults%inFull == inFull-1)
 		moved := call.Err() != nil
 		if err == nil {
 			done()
@@ -240,8 +240,8 @@
 	}
 }
 
-// ask makes one call; quick: it is behind a fault, at an agent that should answer at once.
-func (w *Watch) ask(ctx context.Context, client *http.Client, addr string, version *uint64, quick bool) (next *uint64, err error) {
+// ask makes one call; quick: it is the first or behind a fault, at an agent that should answer at once; inFull: with patience all the same.
+func (w *Watch) ask(ctx context.Context, client *http.Client, addr string, version *uint64, quick, inFull bool) (next *uint64, err error) {
 	defer func() {
 		if fault := recover(); fault != nil {
 			w.Log.Error().Interface("panic", fault).Bytes("stack", debug.Stack()).Msg("panic on a list")
@@ -259,6 +259,8 @@
 		wait = soon
 	case w.Ask && version != nil:
 		limit = overdue
+	case quick && inFull:
+		wait = soon
 	case quick:
 		limit, wait = atOnce, soon
 	case !w.Ask:
