An op that must not run twice, and whose connection never came up, is answered as one that never ran

Change: such a push of an op that may not simply run again ends as could not connect. Redeliverable ops stay as they were: what slow connections teach there is measured, and no answer depends on it. Test: TestWhatNeverCameUpHasNeverRun (without: dead-lettered). TestARepeatIsNotWrittenBehindItsWindow now tells its case by engine.withdrawn, since an op's time takes back as well.

--- a/internal/engine/endings_test.go
+++ b/internal/engine/endings_test.go
@@ -201,13 +201,39 @@
 			s.answer(at, c.first)
 			again := s.await(at+1, "push cache")
 			s.await(again, "taken back cache", "given up cache") // its window is over, or its time
-			if n := s.lines("taken back cache"); (n > 0) != c.taken {
-				t.Errorf("taken back: %d", n)
-			}
 			s.await(again, "dead-lettered a", "nacked a")
+			if got := settled(e); (got.Withdrawn > 0) != c.taken {
+				t.Errorf("%+v", got)
+			}
 			if n := s.lines("push cache"); n != 2 && c.taken {
 				t.Errorf("%d pushes", n)
 			}
 		})
 	}
 }
+
+// Danger: an at-most-once op whose connection has not come up by its time is answered as one that may have run; its client must not try
+// again, though nothing was sent. One that was written may have run, and its client is told so.
+func TestWhatNeverCameUpHasNeverRun(t *testing.T) {
+	for _, unwritten := range []bool{true, false} {
+		for _, effect := range []policy.Effect{policy.AtMostOnce, policy.Deduplicated} {
+			t.Run(fmt.Sprint(unwritten, effect), func(t *testing.T) {
+				t.Parallel()
+				e, s := play(t, func(o *Options) {
+					o.Settings.Categories[2] = policy.Category{Effect: effect, Group: policy.GroupCell, Window: 1000, Target: 1000, TTL: 2000, Benefit: 1}
+				})
+				s.unwritten = unwritten
+				e.Submit(s.op("a", 2))
+				at := s.await(0, "push cache")
+				want := "dead-lettered a"
+				if unwritten {
+					want = "nacked a"
+				}
+				s.await(at, want)
+				if c := settled(e); c.Nacked+c.DeadLettered != 1 || (c.Pushes[policy.ConnectFailed] > 0) != unwritten {
+					t.Errorf("%+v", c)
+				}
+			})
+		}
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -82,6 +82,7 @@
 	most int // that it may have
 	out  []*push
 
+	effect policy.Effect
 	window policy.Time // for which a repeat is dropped; 0: the op is not deduplicated
 	ran    policy.Time // the first push that may have run; 0: none
 	over   bool        // answered, or its client has left
@@ -265,7 +266,8 @@
 		left = min(left, longest)
 	}
 	h := &op{Op: o, ttl: at + left, size: size, most: e.Settings.MostPushes}
-	if c := e.Settings.Categories[o.Category]; c.Effect == policy.Deduplicated {
+	c := e.Settings.Categories[o.Category]
+	if h.effect = c.Effect; h.effect == policy.Deduplicated {
 		h.window = c.Window
 	}
 	for {
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -48,6 +48,10 @@
 func (e *Engine) drop(h *op, p *push, how policy.Outcome) {
 	for _, o := range h.out {
 		if o == p {
+			// Danger: an op that must not run twice would be answered as one that may have run, though no byte of it was written.
+			if how == policy.TimedOut && h.effect != policy.Redeliverable && p.giveUp(true) {
+				how = policy.ConnectFailed
+			}
 			p.giveUp(false)
 			e.ended(h, p, Result{Outcome: how})
 			return
