The client-gone test counts its 0.3 s from when a reader on the machine can know

Seen: one run in twenty of the daemon's new tests failed under -race at low priority on two cores with a load of 80 on the machine; which of them was not kept. The bound counted from the leaving by the clock alone, which a process that does not run can't keep. A canary connection that ends in the same moment now tells when a reader could know, and 0.3 s follow from there. On the unchanged program all eight places of a process that ends still fail.

--- a/internal/daemon/endings_test.go
+++ b/internal/daemon/endings_test.go
@@ -101,6 +101,32 @@
 	}
 }
 
+// canary is one more connection on this machine; what it gives ends that, and comes back once a reader has seen the end: where the
+// machine is too busy to run it, no process can know of any.
+func canary(t *testing.T) (knows func()) {
+	l := listen(t)
+	out, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	in, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := make(chan error, 1)
+	go func() {
+		defer in.Close()
+		_, err := in.Read(make([]byte, 1))
+		seen <- err
+	}()
+	return func() {
+		out.Close()
+		if err := <-seen; err != io.EOF {
+			t.Error(err)
+		}
+	}
+}
+
 // Danger: an op whose client has left is sent on. Hundreds of clients leave while their op waits at each place where one may; each
 // place is held until all have left for 0.3 s, and what is sent from then on is counted: nothing may be.
 func TestNothingIsSentOnForClientsThatHaveLeft(t *testing.T) {
@@ -201,10 +227,14 @@
 					time.Sleep(lastCommand) // by now no reader takes commands: all of them are due
 				}
 				// The first one stays: a process that ends goes on for as long as a client is there.
+				knows := canary(t)
 				for i, c := range conns[1:] {
 					leave[i%len(leave)](c)
 				}
-				time.Sleep(bound)        // all that the rule gives: nothing else is waited for, lest ops end by their time meanwhile
+				// All that the rule gives, from when a reader on this machine can know: nothing else is waited for, lest ops end by
+				// their time meanwhile.
+				knows()
+				time.Sleep(bound)
 				sent := func() (n int) { // for those that have left; the others' ops may go on
 					for _, g := range append([]*gate{origin}, caches...) {
 						n += g.count("last", "op0")
