--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -35,16 +35,10 @@
 		go func() {
 			defer c.Close()
 			for r := bufio.NewReader(c); ; {
-				var n int
-				if _, err := fmt.Fscanf(r, "*%d\r\n", &n); err != nil {
+				words, err := received(r)
+				if err != nil {
 					return
 				}
-				words := make([]string, n)
-				for i := range words {
-					r.ReadString('\n')
-					words[i], _ = r.ReadString('\n')
-					words[i] = strings.TrimSpace(words[i])
-				}
 				time.Sleep(5 * time.Millisecond)
 				if words[0] == "INFO" {
 					io.WriteString(c, "$22\r\npending=0,served_ps=30\r\n")
@@ -60,6 +54,21 @@
 	}
 }
 
+// received reads one command's words.
+func received(r *bufio.Reader) ([]string, error) {
+	var n int
+	if _, err := fmt.Fscanf(r, "*%d\r\n", &n); err != nil {
+		return nil, err
+	}
+	words := make([]string, n)
+	for i := range words {
+		r.ReadString('\n')
+		words[i], _ = r.ReadString('\n')
+		words[i] = strings.TrimSpace(words[i])
+	}
+	return words, nil
+}
+
 func listen(t *testing.T) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/daemon/endings_test.go
+++ b/internal/daemon/endings_test.go
@@ -81,16 +81,11 @@
 		go func() {
 			defer c.Close()
 			for r := bufio.NewReader(c); ; {
-				var n int
-				if _, err := fmt.Fscanf(r, "*%d\r\n", &n); err != nil {
+				words, err := received(r)
+				if err != nil {
 					return
 				}
-				words := make([]string, n)
-				for i := range words {
-					r.ReadString('\n')
-					words[i], _ = r.ReadString('\n')
-				}
-				g.came(strings.TrimSpace(words[2]))
+				g.came(words[2])
 				<-g.open
 				if answer == "" {
 					return
