--- a/internal/daemon/endings_test.go
+++ b/internal/daemon/endings_test.go
@@ -210,8 +210,9 @@
 					}
 				}
 				waiting := p.figure("svc_in_flight")
-				if waiting == 0 {
-					t.Fatal("none waits")
+				t.Logf("%d of %d wait", waiting, rounds)
+				if waiting < 8 { // the first stays: with fewer nothing would be shown
+					t.Fatalf("only %d of %d wait", waiting, rounds)
 				}
 				if place.stop {
 					p.signals <- syscall.SIGTERM
