Lab: a run in which the lab ran late is no verdict; its tests have the machine to themselves

Six experiments of 600 to 900 ops a second ran beside each other, beside the other packages' race tests and the compiler. Excluded: the program and the ledger, since the same test alone on the same machine passes (18 s, 3.8 cores on average). At fault: lab/run's tests took a void run's ledger for a verdict, either way; a void run could also pass. No bound, count or experiment is changed.

--- a/lab/run/run_test.go
+++ b/lab/run/run_test.go
@@ -4,11 +4,14 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 
 	"minttray/lab/experiment"
 	"minttray/lab/ledger"
+	"minttray/lab/report"
 )
 
 // build puts a program of this repository where a test can start it.
@@ -20,17 +23,61 @@
 	return path
 }
 
+// Experiments that run beside each other at most: each takes most of a core, and a lab without a core runs late.
+var (
+	lanes = make(chan struct{}, max(1, runtime.GOMAXPROCS(0)/2))
+	alone sync.RWMutex
+)
+
+// played plays an experiment to its verdict. Where the lab itself ran late its ledger shows nothing, neither a rule that broke nor
+// one that was kept: such a run is never a pass. It is played again with no other beside it, twice at most, and fails then.
+func played(t *testing.T, x *experiment.File, o Options) (r *report.Result, dir string) {
+	t.Helper()
+	o.Stop = make(chan struct{})
+	play := func() (late bool) {
+		dir = t.TempDir()
+		o.Dir = dir
+		var err error
+		if r, err = Play(x, o); err != nil {
+			t.Fatal(err)
+		}
+		for _, why := range r.Void {
+			if strings.HasPrefix(why, "a fault could not be played") {
+				t.Fatal(why)
+			}
+			late = late || strings.HasPrefix(why, "the lab ran late") || strings.HasPrefix(why, "stand-ins stalled")
+		}
+		t.Logf("%s: %.1f%% sent in time, %.1f%% of the stand-ins' work late", x.Name, 100*r.Figures.LateIn5, 100*r.Stalled)
+		return late
+	}
+	late := func() bool {
+		lanes <- struct{}{}
+		alone.RLock()
+		defer func() { alone.RUnlock(); <-lanes }()
+		return play()
+	}()
+	for again := 0; late && again < 2; again++ {
+		t.Logf("proves nothing, played again alone: %s", r.Summary())
+		late = func() bool {
+			alone.Lock()
+			defer alone.Unlock()
+			return play()
+		}()
+	}
+	if late {
+		t.Fatalf("the machine is too busy to show anything: %s", r.Summary())
+	}
+	return r, dir
+}
+
 // Real daemons, a cache that dies, one that drains, a proxy that is killed: the verdict hangs on counts alone.
 func TestSmoke(t *testing.T) {
+	t.Parallel()
 	x, err := experiment.Read("../../experiments/smoke.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
-	dir := t.TempDir()
-	r, err := Play(x, Options{Dir: dir, Command: []string{build(t, "minttray")}, Rule: "minttray", Stop: make(chan struct{})})
-	if err != nil {
-		t.Fatal(err)
-	}
+	r, dir := played(t, x, Options{Command: []string{build(t, "minttray")}, Rule: "minttray"})
 	v := r.Verdict
 	if !v.Kept() || !v.Whole || len(r.Crashes) > 0 || v.Answers["acked"] < 100 || v.Pushes < v.Answers["acked"] {
 		t.Errorf("%s", r.Summary())
@@ -59,16 +106,14 @@
 // A fleet that is short as a whole, and an origin that is: no op is lost, none is held back, most of what can't be served is
 // refused rather than pushed. Counts alone; how much is served hangs on the machine.
 func TestShortages(t *testing.T) {
+	t.Parallel()
 	daemon := build(t, "minttray")
 	for _, name := range []string{"all-slow-short", "origin-short-short"} {
 		x, err := experiment.Read("../../experiments/" + name + ".toml")
 		if err != nil {
 			t.Fatal(err)
 		}
-		r, err := Play(x, Options{Dir: t.TempDir(), Command: []string{daemon}, Rule: "minttray", Stop: make(chan struct{})})
-		if err != nil {
-			t.Fatal(err)
-		}
+		r, _ := played(t, x, Options{Command: []string{daemon}, Rule: "minttray"})
 		v := r.Verdict
 		if !v.Kept() || !v.Whole || len(r.Crashes) > 0 || v.Answers["acked"] < 100 {
 			t.Errorf("%s: %s", name, r.Summary())
@@ -80,26 +125,18 @@
 // what either loses is lost, a push to a cache after the yes is one to a drained cache, and a proxy that goes on saying yes, or
 // holds idle connections 4 s after clients were sent away, is a failure of the run.
 func TestOperators(t *testing.T) {
+	t.Parallel()
 	daemon := build(t, "minttray")
 	for name, calls := range map[string]int{"upgrade-short": 2, "lameduck-short": 0} {
 		x, err := experiment.Read("../../experiments/" + name + ".toml")
 		if err != nil {
 			t.Fatal(err)
 		}
-		dir := t.TempDir()
-		r, err := Play(x, Options{Dir: dir, Command: []string{daemon}, Rule: "minttray", Stop: make(chan struct{})})
-		if err != nil {
-			t.Fatal(err)
-		}
+		r, dir := played(t, x, Options{Command: []string{daemon}, Rule: "minttray"})
 		v := r.Verdict
 		if !v.Kept() || !v.Whole || len(r.Crashes) > 0 || v.Answers["acked"] < 100 || v.Killed > 0 {
 			t.Errorf("%s: %s", name, r.Summary())
 		}
-		for _, why := range r.Void { // that it ran late is the machine's
-			if strings.HasPrefix(why, "a fault could not be played") {
-				t.Errorf("%s: %s", name, why)
-			}
-		}
 		// The proxies' own figures against the ledger, where none was replaced: what clients that had gone were owed may count.
 		if n := r.Vars; name == "lameduck-short" {
 			gone := int64(v.Left + v.Answers["crossed"])
@@ -129,6 +166,7 @@
 // Proxies restarted round and round by SIGTERM, SIGKILL and upgrades, and by upgrades alone: every try that was taken ends in one
 // answer unless SIGKILL took its proxy, and where all restarts are upgrades nothing is lost and no connection is refused.
 func TestRollingWaves(t *testing.T) {
+	t.Parallel()
 	daemon := build(t, "minttray")
 	for _, by := range []string{"mixed", "upgrade"} {
 		x, err := experiment.Read("../../experiments/waves-short.toml")
@@ -136,10 +174,7 @@
 			t.Fatal(err)
 		}
 		x.Fault[0].By = by
-		r, err := Play(x, Options{Dir: t.TempDir(), Command: []string{daemon}, Rule: "minttray", Stop: make(chan struct{})})
-		if err != nil {
-			t.Fatal(err)
-		}
+		r, _ := played(t, x, Options{Command: []string{daemon}, Rule: "minttray"})
 		v := r.Verdict
 		if !v.Kept() || !v.Whole || len(r.Crashes) > 0 || v.Answers["acked"] < 100 || len(r.Figures.Restarted) == 0 {
 			t.Errorf("%s: %s", by, r.Summary())
@@ -164,6 +199,7 @@
 
 // A run that is interrupted ends soon, ends its processes, and is void, not lost.
 func TestInterrupted(t *testing.T) {
+	t.Parallel()
 	x, err := experiment.Read("../../experiments/smoke.toml", "length=10m", "proxies.count=1")
 	if err != nil {
 		t.Fatal(err)
--- a/lab/run/sites_test.go
+++ b/lab/run/sites_test.go
@@ -15,6 +15,7 @@
 // Sites that are lost, cut off, come back and are lost again, and processes that stand still: six real daemons over three sites.
 // The verdict hangs on counts alone: every try has one end, no rule is broken, whatever was asked of the lab was done.
 func TestSites(t *testing.T) {
+	t.Parallel()
 	daemon := build(t, "minttray")
 	for _, name := range []string{"site-lost", "site-cut", "site-cut-ways", "site-flaps", "two-sites", "site-by-hand", "site-busy", "stalls"} {
 		t.Run(name, func(t *testing.T) {
@@ -23,10 +24,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			r, err := Play(x, Options{Dir: t.TempDir(), Command: []string{daemon}, Rule: "minttray", Stop: make(chan struct{})})
-			if err != nil {
-				t.Fatal(err)
-			}
+			r, _ := played(t, x, Options{Command: []string{daemon}, Rule: "minttray"})
 			v := r.Verdict
 			if !v.Kept() || !v.Whole || len(r.Crashes) > 0 || v.Answers["acked"] < 500 {
 				t.Errorf("%s", r.Summary())
@@ -44,11 +42,6 @@
 			if name == "stalls" && v.Stalled == 0 {
 				t.Error("nobody was asked while it stood still")
 			}
-			for _, why := range r.Void { // that it ran late is the machine's
-				if strings.HasPrefix(why, "a fault could not be played") {
-					t.Error(why)
-				}
-			}
 		})
 	}
 }
@@ -57,6 +50,7 @@
 // over; one that sends an at-most-once op on to another site as the ways to the first are reset; a proxy that sends ops on for clients
 // that have left. All are found, and the module, told the same terms on the same day, does none.
 func TestPlantedFaults(t *testing.T) {
+	t.Parallel()
 	daemon := build(t, "minttray")
 	for name, c := range map[string]struct {
 		rule, breaks, file string
@@ -86,14 +80,11 @@
 						c.TTL, c.Target, c.Work = experiment.Span(4*time.Second), experiment.Span(3*time.Second), experiment.Span(500*time.Millisecond)
 					}
 				}
-				o := Options{Dir: t.TempDir(), Command: []string{daemon}, Rule: rule, Stop: make(chan struct{})}
+				o := Options{Command: []string{daemon}, Rule: rule}
 				if rule != "minttray" {
 					o.Command, o.Env = []string{build(t, "mintbase")}, []string{"MINTBASE_RULE=" + rule}
 				}
-				r, err := Play(x, o)
-				if err != nil {
-					t.Fatal(err)
-				}
+				r, _ := played(t, x, o)
 				if name == "for nobody" && r.Verdict.Left == 0 {
 					t.Error("no client has left")
 				}
