What is given up is not sent later: our system throws away what it still holds

Excluded: bytes that a server's system already has are not ours any more; those it may read all the same. Change: giveUp closes with what is unsent thrown away (abort). A third word, Unsent, gives a push up whose last byte has not come to the server's system by ours' word (SIOCOUTQ); the engine says it at the window's end, and takes the push as one that may have run.

--- a/internal/engine/endings_test.go
+++ b/internal/engine/endings_test.go
@@ -212,6 +212,32 @@
 	}
 }
 
+// Danger: a repeat has been written, but lies in the system's buffer for a cache that hangs as the window runs out in which caches drop it:
+// the cache takes it once it is back, and the op runs twice. One that has come to its cache goes on.
+func TestARepeatThatHasNotComeEndsWithItsWindow(t *testing.T) {
+	for _, unsent := range []bool{true, false} {
+		t.Run(fmt.Sprint(unsent), func(t *testing.T) {
+			t.Parallel()
+			e, s := play(t, func(o *Options) {
+				o.Settings.Cancelling = false
+				o.Settings.Categories[2] = policy.Category{Effect: policy.Deduplicated, Window: 5000, Target: 15000, TTL: 20000, Benefit: 1}
+			})
+			s.unsent = unsent
+			e.Submit(s.op("a", 2))
+			at := s.await(0, "push cache")
+			s.answer(at, Result{Outcome: policy.Errored})
+			again := s.await(at+1, "push cache")
+			if unsent {
+				s.await(again, "thrown away")
+			}
+			s.await(again, "dead-lettered a", "nacked a")
+			if c := settled(e); s.lines("push cache") != 2 || s.lines("thrown away") > 0 != unsent || c.Withdrawn > 0 || c.Pushes[policy.TimedOut] != 1 {
+				t.Errorf("%+v", c)
+			}
+		})
+	}
+}
+
 // Danger: an at-most-once op whose connection has not come up by its time is answered as one that may have run; its client must not try
 // again, though nothing was sent. One that was written may have run, and its client is told so.
 func TestWhatNeverCameUpHasNeverRun(t *testing.T) {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -93,7 +93,7 @@
 	n      int
 	to     uint32
 	at     policy.Time
-	giveUp func(unwritten bool) bool
+	giveUp func(When) bool
 }
 
 // New makes an engine; Run starts it.
@@ -307,7 +307,7 @@
 func (e *Engine) end(h *op) {
 	h.over = true
 	for _, p := range h.out {
-		if p.giveUp(true) {
+		if p.giveUp(Unwritten) {
 			e.later = append(e.later, func() { e.withdrawn(h, p) })
 		}
 	}
@@ -332,7 +332,7 @@
 			continue
 		}
 		for _, p := range slices.Clone(h.out) {
-			if caches[p.to] && p.giveUp(true) {
+			if caches[p.to] && p.giveUp(Unwritten) {
 				e.withdrawn(h, p)
 			}
 		}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -29,6 +29,7 @@
 	done map[string]func(Result) // by push, as logged
 
 	unwritten bool // pushes stay so
+	unsent    bool // or lie in the system's buffer
 }
 
 func (s *stage) say(format string, args ...any) string {
@@ -75,15 +76,15 @@
 	n    int
 }
 
-func (f *fakeServer) Push(r *Request, until time.Time, done func(Result)) func(bool) bool {
+func (f *fakeServer) Push(r *Request, until time.Time, done func(Result)) func(When) bool {
 	f.n++
 	name := fmt.Sprintf("%s %s #%d", f.addr, r.ID, f.n)
 	f.s.mu.Lock()
 	f.s.done["push "+name] = done
 	f.s.mu.Unlock()
 	f.s.say("push %s", name)
-	return func(unwritten bool) bool {
-		if !unwritten {
+	return func(when When) bool {
+		if when == Always {
 			f.s.say("given up %s", name)
 			return true
 		}
@@ -91,9 +92,13 @@
 		defer f.s.mu.Unlock()
 		if f.s.unwritten {
 			f.s.log = append(f.s.log, "taken back "+name)
-			f.s.cond.Broadcast()
+		} else if when == Unsent && f.s.unsent {
+			f.s.log = append(f.s.log, "thrown away "+name)
+		} else {
+			return false
 		}
-		return f.s.unwritten
+		f.s.cond.Broadcast()
+		return true
 	}
 }
 func (f *fakeServer) Release() { f.s.say("release %s", f.addr) }
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -16,7 +16,7 @@
 	if h == nil {
 		return
 	}
-	p := &push{n: h.n, to: cache, at: e.now, giveUp: func(bool) bool { return true }}
+	p := &push{n: h.n, to: cache, at: e.now, giveUp: func(When) bool { return true }}
 	h.n++
 	h.out = append(h.out, p)
 	if until == 0 || until > h.ttl {
@@ -33,11 +33,15 @@
 	})
 	e.timers.set(until, func() { e.drop(h, p, policy.TimedOut) })
 	if h.window > 0 && h.ran > 0 {
-		// Danger: the module let the repeat go within the window, and a connection that comes up late carries it out behind that:
-		// the op would run twice.
+		// Danger: the module let the repeat go within the window, and a connection that comes up late, or a server that hangs as it
+		// is written, has it come behind that: the op would run twice.
 		e.timers.set(h.ran+h.window-e.Settings.Tick, func() {
-			if slices.Contains(h.out, p) && p.giveUp(true) {
+			switch {
+			case !slices.Contains(h.out, p):
+			case p.giveUp(Unwritten):
 				e.withdrawn(h, p)
+			case p.giveUp(Unsent):
+				e.ended(h, p, Result{Outcome: policy.TimedOut}) // our system's word may be old: it may have run
 			}
 		})
 	}
@@ -49,10 +53,10 @@
 	for _, o := range h.out {
 		if o == p {
 			// Danger: an op that must not run twice would be answered as one that may have run, though no byte of it was written.
-			if how == policy.TimedOut && h.effect != policy.Redeliverable && p.giveUp(true) {
+			if how == policy.TimedOut && h.effect != policy.Redeliverable && p.giveUp(Unwritten) {
 				how = policy.ConnectFailed
 			}
-			p.giveUp(false)
+			p.giveUp(Always)
 			e.ended(h, p, Result{Outcome: how})
 			return
 		}
@@ -64,7 +68,7 @@
 	if h := e.held[id]; h != nil {
 		for _, p := range h.out {
 			if p.n == n {
-				p.giveUp(false)
+				p.giveUp(Always)
 				e.later = append(e.later, func() { e.drop(h, p, policy.Cancelled) })
 			}
 		}
@@ -132,13 +136,13 @@
 	}
 	giveUp := s.Push(&Request{Probe: true}, e.wall(until), func(r Result) { e.queue.put(func() { end(r) }) })
 	s.unprobe = func() {
-		if !over && giveUp(true) {
+		if !over && giveUp(Unwritten) {
 			end(Result{Outcome: policy.Moot})
 		}
 	}
 	e.timers.set(until, func() {
 		if !over {
-			giveUp(false)
+			giveUp(Always)
 			end(Result{Outcome: policy.TimedOut})
 		}
 	})
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -91,13 +91,22 @@
 	Waiting, Rate float64
 }
 
+// When says how far a push may have come to be given up.
+type When uint8
+
+const (
+	Always    When = iota
+	Unwritten      // no byte of it has been written: it has never run
+	Unsent         // its last byte has not come to the server's system, by the word of ours: it may have run, if that word is old
+)
+
 // Server is one cache or origin. None of its methods may block.
 type Server interface {
 	// Push sends a request; until is how long the answer is waited for. The result comes once through done, on
 	// another goroutine. After the function returned here has been called, the push is no longer out on an
-	// open connection, and its result, if one still comes, counts for nothing. With unwritten it does so only if no byte
-	// of the push has been written, and tells whether.
-	Push(r *Request, until time.Time, done func(Result)) (giveUp func(unwritten bool) bool)
+	// open connection, and its result, if one still comes, counts for nothing. It does so only as far as when says, and
+	// tells whether.
+	Push(r *Request, until time.Time, done func(Result)) (giveUp func(when When) bool)
 	Release() // closes idle connections
 	Retire()  // closes idle connections, and the others once their push has ended
 }
--- a/internal/pool/endings_test.go
+++ b/internal/pool/endings_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -119,10 +120,10 @@
 // is up, seconds later. All of them are forced: not one connection is up before all clients have left.
 func TestNothingIsWrittenOnceTheConnectionIsUp(t *testing.T) {
 	const many = 40
-	for name, end := range map[string]func(r *engine.Request, giveUp func(bool) bool) bool{
-		"taken back":          func(_ *engine.Request, giveUp func(bool) bool) bool { return giveUp(true) },
-		"given up":            func(_ *engine.Request, giveUp func(bool) bool) bool { return giveUp(false) },
-		"its client has left": func(r *engine.Request, _ func(bool) bool) bool { r.Leave(); return true },
+	for name, end := range map[string]func(r *engine.Request, giveUp func(engine.When) bool) bool{
+		"taken back":          func(_ *engine.Request, giveUp func(engine.When) bool) bool { return giveUp(engine.Unwritten) },
+		"given up":            func(_ *engine.Request, giveUp func(engine.When) bool) bool { return giveUp(engine.Always) },
+		"its client has left": func(r *engine.Request, _ func(engine.When) bool) bool { r.Leave(); return true },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -284,3 +285,101 @@
 		t.Errorf("%d opened, %d used again", s.Opened.Load(), s.Reused.Load())
 	}
 }
+
+// deaf is a server that takes hardly a byte before it is let: its system has room for a few KiB alone.
+func deaf(t *testing.T, serve func(c net.Conn)) string {
+	t.Helper()
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 2<<10) })
+	}}
+	l, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Danger: a push that is given up lies in our system's buffer still, for a server that hangs or is cut off, and is sent as that is back:
+// behind its op's final answer, and behind the window in which a repeat is dropped. Nothing is read there before the push is given up.
+func TestWhatIsGivenUpDoesNotComeLater(t *testing.T) {
+	const kept = 512 << 10 // that our system takes whole; ten times of it, it does not
+	for name, c := range map[string]struct {
+		size int
+		when engine.When
+	}{
+		"all of it in our system's buffer":                      {kept, engine.Always},
+		"all of it in our system's buffer, and its time is up":  {kept, engine.Unsent},
+		"part of it in our system's buffer":                     {64 * kept, engine.Always},
+		"part of it in our system's buffer, and its time is up": {64 * kept, engine.Unsent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			begun, read, got := make(chan bool), make(chan bool), make(chan int64)
+			addr := deaf(t, func(c net.Conn) {
+				r := bufio.NewReaderSize(c, 16)
+				r.Peek(1)
+				begun <- true
+				<-read
+				n, _ := io.Copy(io.Discard, r)
+				got <- n
+			})
+			s, whole := shared(), make(chan bool, 1)
+			s.Written = func() { whole <- true }
+			p := pool.New(s, addr, caches.Protocol{})
+			r := request("a")
+			r.Write, r.Parts = true, [][]byte{make([]byte, c.size)}
+			_, giveUp := push(p, r)
+			wait(t, begun)
+			if c.size == kept {
+				wait(t, whole)
+			}
+			if !giveUp(c.when) {
+				t.Error("not given up")
+			}
+			close(read)
+			if n := wait(t, got); n >= int64(c.size) {
+				t.Errorf("%d bytes of it came all the same", n)
+			}
+		})
+	}
+}
+
+// What has come to the server's system runs on, though its time for repeats is up.
+func TestWhatHasComeIsNoLongerUnsent(t *testing.T) {
+	read, answer := make(chan bool), make(chan bool)
+	addr := listen(t, func(n int, c net.Conn) {
+		r := bufio.NewReader(c)
+		if _, err := command(r); err != nil {
+			return
+		}
+		close(read)
+		<-answer
+		io.WriteString(c, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
+	})
+	s, whole := shared(), make(chan bool, 1)
+	s.Written = func() { whole <- true }
+	p := pool.New(s, addr, caches.Protocol{})
+	results, giveUp := push(p, request("a"))
+	wait(t, read)
+	wait(t, whole)
+	if giveUp(engine.Unsent) {
+		t.Error("given up")
+	}
+	close(answer)
+	if r := wait(t, results); r.Outcome != policy.Acked {
+		t.Errorf("%+v", r)
+	}
+}
--- a/internal/pool/look.go
+++ b/internal/pool/look.go
@@ -4,8 +4,23 @@
 	"errors"
 	"io"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
+// holds tells whether our system still has bytes that the server's has not said to have.
+func (c *conn) holds() (some bool) {
+	if socket, ok := c.nc.(syscall.Conn); ok {
+		if raw, err := socket.SyscallConn(); err == nil {
+			raw.Control(func(fd uintptr) {
+				n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+				some = err == nil && n > 0
+			})
+		}
+	}
+	return some
+}
+
 // look tells, without waiting and without taking anything, whether an idle connection is open and empty.
 func (c *conn) look() error {
 	if c.answers.Rest() > 0 {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -79,6 +79,7 @@
 	on      *conn
 	givenUp bool
 	begun   bool // to be written
+	whole   bool // our system has all of it
 }
 
 // New makes a pool; nothing is opened before the first push.
@@ -89,10 +90,10 @@
 }
 
 // Push sends a request on the most recently used idle connection that has settled, or on a new one.
-func (p *Pool) Push(r *engine.Request, until time.Time, done func(engine.Result)) func(bool) bool {
+func (p *Pool) Push(r *engine.Request, until time.Time, done func(engine.Result)) func(engine.When) bool {
 	out := &push{request: r, until: until, done: done}
 	p.start(out)
-	return func(unwritten bool) bool { return p.giveUp(out, unwritten) }
+	return func(when engine.When) bool { return p.giveUp(out, when) }
 }
 
 func (p *Pool) start(out *push) {
@@ -120,21 +121,31 @@
 	c.work <- out // never blocks: one push at a time, and room for one
 }
 
-func (p *Pool) giveUp(out *push, unwritten bool) bool {
+func (p *Pool) giveUp(out *push, when engine.When) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if out.givenUp || unwritten && out.begun {
+	over := out.on != nil && out.on.push != out // its result is under way
+	if out.givenUp || when == engine.Unwritten && out.begun || when == engine.Unsent && (over || out.whole && !out.on.holds()) {
 		return out.givenUp
 	}
 	out.givenUp = true
 	if c := out.on; c != nil && c.push == out {
 		// Before anything else is written for this op: the server would take a second copy while this one is
 		// still out on an open connection.
-		c.close()
+		c.abort()
 	}
 	return true
 }
 
+// abort closes a connection and has our system throw away what it still holds for the server; the pool's mutex is held. Danger: a
+// server that hangs, or is cut off, would get that once it is back, long after the op's end.
+func (c *conn) abort() {
+	if tcp, ok := c.nc.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	c.close()
+}
+
 // close closes a connection for good; the pool's mutex is held.
 func (c *conn) close() {
 	if c.gone {
@@ -240,6 +251,9 @@
 		c.end(out, how, err)
 		return
 	}
+	p.mu.Lock()
+	out.whole = true
+	p.mu.Unlock()
 	how = WholeWritten
 	if p.shared.Written != nil && !out.request.Probe {
 		p.shared.Written()
@@ -300,7 +314,7 @@
 func (c *conn) pass(out *push, res engine.Result) (keep bool) {
 	p := c.pool
 	p.mu.Lock()
-	if c.push != out { // given up as its head came
+	if out.givenUp { // as its head came
 		p.mu.Unlock()
 		return false
 	}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -70,7 +70,7 @@
 	return &engine.Request{Key: "k", ID: id, Props: props, Wait: [2]int{9, 12}}
 }
 
-func push(p *pool.Pool, r *engine.Request) (chan engine.Result, func(bool) bool) {
+func push(p *pool.Pool, r *engine.Request) (chan engine.Result, func(engine.When) bool) {
 	results := make(chan engine.Result, 2)
 	return results, p.Push(r, time.Now().Add(time.Hour), func(res engine.Result) { results <- res })
 }
@@ -143,12 +143,12 @@
 	p := pool.New(s, addr, caches.Protocol{})
 	_, giveUp := push(p, request("a"))
 	wait(t, taken)
-	giveUp(false)
+	giveUp(engine.Always)
 	if s.Open() != 0 {
 		t.Error("the connection is still open")
 	}
 	wait(t, closed)
-	giveUp(false)
+	giveUp(engine.Always)
 	results, _ := push(p, request("a"))
 	if res := wait(t, results); res.Outcome != policy.Acked {
 		t.Errorf("%+v", res)
@@ -282,7 +282,7 @@
 	for s.Opened.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	giveUp(false)
+	giveUp(engine.Always)
 	select {
 	case res := <-first:
 		if res.Outcome == policy.Acked {
