A probe that is not written yet ends as its cache begins to drain, goes or moves

Cause: engine.list took back pushes alone; a probe still dialling, or behind a stale connection, went out to a cache past its drain's grace (only an operator's out took it back). Excluded: a probe that is written. At fault: engine.list, the three places that shut a cache.

--- a/internal/engine/endings_test.go
+++ b/internal/engine/endings_test.go
@@ -20,6 +20,12 @@
 	return n
 }
 
+func (s *stage) line(at int) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.log[at]
+}
+
 // Danger: where servers take no cancelling, a push that still dials as its op ends is written after the op's answer, or for a
 // client that has left. What no server has heard of is withdrawn, whatever the settings say.
 func TestWhatIsNotWrittenEndsWithItsOp(t *testing.T) {
@@ -138,26 +144,32 @@
 			return []Member{at(f, policy.Ready, func(m *Member) { m.Start = 1 })}
 		}, true},
 	} {
-		t.Run(name, func(t *testing.T) {
-			e, s := play(t, nil)
-			e.Submit(s.op("a", 0))
-			pushed := s.await(0, "push cache")
-			first, other := uint32(1), uint32(2)
-			if s.cache(pushed) != "cache1" {
-				first, other = 2, 1
-			}
-			s.mu.Lock()
-			s.unwritten = true
-			s.mu.Unlock()
-			e.List(list.kind, list.members(first, other))
-			back := s.await(pushed, "taken back "+s.cache(pushed)+" a")
-			again := s.await(back, "push ")
-			if !list.again && s.cache(again) == s.cache(pushed) {
-				t.Errorf("pushed again to %s", s.cache(again))
-			}
-			s.answer(again, Result{Outcome: policy.Acked, Value: []byte("v")})
-			s.await(again, "acked a v")
-		})
+		for _, probing := range []bool{false, true} { // a probe is something new as well
+			t.Run(fmt.Sprint(name, probing), func(t *testing.T) {
+				e, s := play(t, func(o *Options) { o.Settings.Probing = probing })
+				e.Submit(s.op("a", 0))
+				pushed := s.await(0, "push cache")
+				first, other := uint32(1), uint32(2)
+				if s.cache(pushed) != "cache1" {
+					first, other = 2, 1
+				}
+				s.mu.Lock()
+				s.unwritten = true
+				s.mu.Unlock()
+				e.List(list.kind, list.members(first, other))
+				back := s.await(pushed, "taken back "+strings.TrimPrefix(s.line(pushed), "push "))
+				again := s.await(back, "push ")
+				for probing && !strings.Contains(s.line(again), " a ") { // another probe
+					s.answer(again, Result{Outcome: policy.Acked, Rate: 30})
+					again = s.await(again+1, "push ")
+				}
+				if !list.again && s.cache(again) == s.cache(pushed) {
+					t.Errorf("pushed again to %s", s.cache(again))
+				}
+				s.answer(again, Result{Outcome: policy.Acked, Value: []byte("v")})
+				s.await(again, "acked a v")
+			})
+		}
 	}
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync/atomic"
@@ -74,6 +75,13 @@
 	unprobe func() // takes that back, unless it is written
 }
 
+// takeBack takes a probe back that is not written yet.
+func (s *server) takeBack() {
+	if s.unprobe != nil {
+		s.unprobe()
+	}
+}
+
 type op struct {
 	*Op
 	id   uint32
@@ -403,13 +411,14 @@
 	e.Counters.Lists++
 	entries := make([]policy.Entry, 0, len(members))
 	shut := map[uint32]bool{} // caches to which nothing goes any more, or no longer there
+	var probed []*server      // as they were
 	if kind == policy.ListFull || kind == policy.ListCached {
 		for id, s := range e.servers { // who is missing from a whole list is gone
 			if !slices.ContainsFunc(members, func(m Member) bool { return m.ID == id }) {
 				s.Retire()
 				delete(e.servers, id)
 				e.leave(s)
-				shut[id] = true
+				shut[id], probed = true, append(probed, s)
 			}
 		}
 	}
@@ -428,6 +437,7 @@
 			// written to it would wait in vain. What is out there still ends by itself.
 			s.Retire()
 			delete(e.servers, m.ID)
+			probed = append(probed, s)
 			s, shut[m.ID] = nil, true
 		}
 		if s == nil && m.State != policy.Gone {
@@ -435,14 +445,18 @@
 		}
 		if s = e.servers[m.ID]; s != nil {
 			if m.State == policy.Draining && s.member.State != policy.Draining {
-				shut[m.ID] = true
+				shut[m.ID], probed = true, append(probed, s)
 			}
 			s.member = m
 		}
 	}
 	e.module.ListArrived(kind, entries)
-	// Danger: a connection that comes up late, or follows a stale one, would carry a push there after the drain's grace.
+	// Danger: a connection that comes up late, or follows a stale one, would carry a push or a probe there after the drain's grace.
 	e.withdraw(shut)
+	slices.SortFunc(probed, func(x, y *server) int { return cmp.Compare(x.member.ID, y.member.ID) }) // the same order each time
+	for _, s := range probed {
+		s.takeBack()
+	}
 	e.recall()
 }
 
--- a/internal/engine/out.go
+++ b/internal/engine/out.go
@@ -267,9 +267,7 @@
 	if !out {
 		return
 	}
-	if s.unprobe != nil {
-		s.unprobe()
-	}
+	s.takeBack()
 	// Danger: a push that still waits for its connection would be written after the operator was told yes. Also those
 	// over a connection pool of the same cache that the list has replaced.
 	e.withdraw(map[uint32]bool{s.member.ID: true})
