A call that the engine has begun is never told no; one it has not begun is never done

Cause: engine.ahead told its caller no 50 ms past the span while the engine might have just begun: a cache taken out, settings taken at a reload, or a word on a site then held, though the operator, the file of words or the daemon's own record had them undone (the next reload would number categories from other settings). Change: engine and caller take the call from each other in one step; what has begun is waited for, 2 s at most (an engine that stands for longer never comes back). Test: TestACallIsDoneOrNotDone, the engine held in the call; without the mend: told busy, and it is done.

--- a/internal/engine/endings_test.go
+++ b/internal/engine/endings_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"minttray/policy"
 )
@@ -173,6 +174,32 @@
 	}
 }
 
+// Danger: the engine comes to an operator's call just as the caller's time runs out: the caller is told no, and it is done all the same.
+// What has begun by then is waited for; what has not is never done.
+func TestACallIsDoneOrNotDone(t *testing.T) {
+	const span = 20 * time.Millisecond
+	e, _ := play(t, nil)
+	begun, hold := make(chan bool), make(chan bool)
+	said := make(chan error, 1)
+	go func() {
+		said <- e.ahead(span, func() error { close(begun); <-hold; return nil })
+	}()
+	<-begun
+	ran := make(chan bool, 1)
+	if err := e.ahead(10*span, func() error { ran <- true; return nil }); err != ErrBusy { // the engine stands in the first
+		t.Errorf("%v, though nothing was done", err)
+	}
+	early := len(said) > 0 // by now the first is far past its time, ten times over
+	close(hold)
+	if err := <-said; err != nil || early {
+		t.Errorf("told %v, early %v, and it is done", err, early)
+	}
+	settled(e)
+	if len(ran) > 0 {
+		t.Error("done after a no")
+	}
+}
+
 // What is written stays: a drain is no cancelling.
 func TestADrainLeavesWhatIsWritten(t *testing.T) {
 	e, s := play(t, nil)
--- a/internal/engine/out.go
+++ b/internal/engine/out.go
@@ -4,6 +4,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"minttray/decide/site"
@@ -20,22 +21,32 @@
 // ahead runs f on the engine's goroutine ahead of all that waits, and comes back when it has run; within span, or not
 // at all.
 func (e *Engine) ahead(span time.Duration, f func() error) error {
-	done, late := make(chan error, 1), time.Now().Add(span)
+	done := make(chan error, 1)
+	var taken atomic.Bool // by the engine, which does it, or by the caller, who gives it up
 	e.queue.putFirst(func() {
-		if time.Now().After(late) { // the caller has been told no
-			done <- ErrBusy
-			return
+		if taken.CompareAndSwap(false, true) {
+			done <- f()
 		}
-		done <- f()
 	})
 	select {
 	case err := <-done:
 		return err
-	case <-time.After(span + 50*time.Millisecond):
+	case <-time.After(span):
+	}
+	if taken.CompareAndSwap(false, true) {
 		return ErrBusy
 	}
+	// Danger: it has begun, and a no would be untrue: what an operator, or a reload, takes for undone would hold.
+	select {
+	case err := <-done:
+		return err
+	case <-time.After(stuckAfter):
+		return ErrBusy // the engine itself stands still, for good
+	}
 }
 
+const stuckAfter = 2 * time.Second // of one call that has begun: all of them are short
+
 // Retune puts new settings in the place of the old, ahead of all that waits. Open ops, and those handed in by the numbers
 // of before, keep their rules: settings.Join leaves each category its number.
 func (e *Engine) Retune(s policy.Settings, maxOps int, span time.Duration) error {
