A long value is announced to its client's connection under its mutex

Cause (read from the code): slot.Passed wrote the value's size and reader without the connection's mutex, on the engine's goroutine; a client that leaves in that instant has its slots let go on the reader's, which may read half of it: a panic with the mutex held, behind which the engine would wait for ever. Also a race by the language's rules. Excluded: answers that are not passed on, which were set under it. Change: put takes the value, and sets all of the answer under the mutex. Test: TestAValueIsAnnouncedUnderTheMutex holds the mutex as the value comes and has the client leave first; without the mend: 'the value is there already'.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -76,29 +76,31 @@
 }
 
 func (s *slot) Acked(value []byte) {
-	s.put(figures.Served, redcon.AppendBulk(make([]byte, 0, len(value)+16), value))
+	s.put(figures.Served, redcon.AppendBulk(make([]byte, 0, len(value)+16), value), engine.Body{})
 }
 
 func (s *slot) Passed(body engine.Body) {
-	s.body = body
-	s.put(figures.Served, append(strconv.AppendInt([]byte("$"), int64(body.Size), 10), "\r\n"...))
+	s.put(figures.Served, append(strconv.AppendInt([]byte("$"), int64(body.Size), 10), "\r\n"...), body)
 }
 
 func (s *slot) Nacked(comeBack time.Duration) {
 	if ms := int64((comeBack + time.Millisecond - 1) / time.Millisecond); ms > 0 {
-		s.put(figures.Refused, []byte("-BUSY "+strconv.FormatInt(ms, 10)+"\r\n"))
+		s.put(figures.Refused, []byte("-BUSY "+strconv.FormatInt(ms, 10)+"\r\n"), engine.Body{})
 		return
 	}
-	s.put(figures.Refused, []byte("-BUSY\r\n"))
+	s.put(figures.Refused, []byte("-BUSY\r\n"), engine.Body{})
 }
 
 func (s *slot) DeadLettered() {
-	s.put(figures.Failed, []byte("-ERR dead-lettered: it may have run\r\n"))
+	s.put(figures.Failed, []byte("-ERR dead-lettered: it may have run\r\n"), engine.Body{})
 }
 
-func (s *slot) put(end figures.End, answer []byte) {
+// put takes the one answer. Danger: a client that leaves just then has its slots let go on another goroutine; all of the answer is set
+// under the mutex.
+func (s *slot) put(end figures.End, answer []byte, body engine.Body) {
 	c := s.c
 	c.mu.Lock()
+	s.body = body
 	if c.ended {
 		c.mu.Unlock()
 		s.let()
@@ -350,7 +352,7 @@
 		if errors.Is(err, engine.ErrTwice) {
 			// The op that has this id stays untouched: a value for it belongs to its own client alone.
 			c.front.twice.Add(1)
-			s.put(figures.Failed, errorLine(err))
+			s.put(figures.Failed, errorLine(err), engine.Body{})
 			c.refused++
 			return true
 		}
--- a/internal/front/endings_test.go
+++ b/internal/front/endings_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
+	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"minttray/decide/lifecycle"
 	"minttray/internal/engine"
+	"minttray/internal/figures"
 )
 
 // only gives the front's one connection, as it looks under its mutex.
@@ -181,3 +185,48 @@
 		t.Error("a command behind the end was taken, or one that was answered lost its client")
 	}
 }
+
+// Danger: a client leaves in the instant in which a long value for it is announced, on another goroutine: half of what is written there
+// is read, and closed. The connection's mutex is held as the value comes, and let go once it is waited for.
+func TestAValueIsAnnouncedUnderTheMutex(t *testing.T) {
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	f := &Front{Engine: &nobody{}, Book: figures.New(), Piled: 1 << 20, conns: map[*conn]struct{}{}, changed: make(chan struct{}, 1)}
+	f.Conns.Store(1)
+	c := newConn(f, ours)
+	s := &slot{c: c, op: &engine.Op{}}
+	c.slots = []*slot{s}
+	r, w := io.Pipe()
+	c.mu.Lock()
+	passed := make(chan bool)
+	go func() {
+		s.Passed(engine.Body{Size: 100000, ReadCloser: r})
+		close(passed)
+	}()
+	for late := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		stacks := make([]byte, 1<<20)
+		stacks = stacks[:runtime.Stack(stacks, true)]
+		waits := slices.ContainsFunc(strings.Split(string(stacks), "\n\n"), func(one string) bool {
+			return strings.Contains(one, "(*slot).Passed") && strings.Contains(one, "(*Mutex).Lock")
+		})
+		if waits {
+			break
+		}
+		if time.Now().After(late) {
+			t.Fatal("it does not wait for the mutex")
+		}
+	}
+	if s.body.Size != 0 || s.body.ReadCloser != nil {
+		t.Error("the value is there already")
+	}
+	c.close() // lets go of the mutex: the client has left first
+	<-passed
+	if _, err := w.Write([]byte("v")); err != io.ErrClosedPipe {
+		t.Errorf("its server's connection waits for nobody: %v", err)
+	}
+}
+
+type nobody struct{}
+
+func (nobody) Submit(*engine.Op) error { return nil }
+func (nobody) Leave(*engine.Op)        {}
