Three hundred clients leave at each waiting place, first pushes among them

Now sixty caches, so that all 300 of 300 wait at each of eleven places (twice each, with and without cancelling), the origin's queue with writes among them, for which nothing was sent yet; the test fails where fewer than 200 wait. Connections still coming up: 300 for 40. With engine.Leave made to do nothing all 22 rows fail: 299 of 300 at caches, 240 of 300 in the origin's queue, 15 to 17 where the cache breaks off (the others' time ends first).

--- a/internal/daemon/endings_test.go
+++ b/internal/daemon/endings_test.go
@@ -126,11 +126,14 @@
 // place is held until all have left for 0.3 s, and what is sent from then on is counted: nothing may be.
 func TestNothingIsSentOnForClientsThatHaveLeft(t *testing.T) {
 	const (
-		many  = 300
-		bound = 300 * time.Millisecond
-		miss  = "*3\r\n$-1\r\n$-1\r\n$-1\r\n"
+		many   = 300
+		fleet  = 60  // caches: at first one has room for a dozen ops at each, and keys do not fall evenly
+		fewest = 200 // of many, that have to wait where they are meant to
+		bound  = 300 * time.Millisecond
+		miss   = "*3\r\n$-1\r\n$-1\r\n$-1\r\n"
 
 		atOnce = "at once "
+		write  = "never " // the caches are not asked: the op waits at the origin, or in the queue for it, for its first push
 	)
 	leave := []func(c net.Conn){
 		func(c net.Conn) { c.Close() },
@@ -150,18 +153,27 @@
 		"at a cache that spoils its answer, and on": {"+what\r\n", false},
 		"in the queue for the origin":               {atOnce + miss, false},
 		"in the queue for the origin, as it ends":   {atOnce + miss, true},
+		"a write, in the queue for the origin":      {write, false},
+		"a write, in that queue, as it ends":        {write, true},
 	} {
 		for _, cancelling := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s, cancelling %v", name, cancelling), func(t *testing.T) {
 				t.Parallel()
-				caches, agent, free := []*gate{newGate(t), newGate(t)}, listen(t), listen(t)
+				agent, free := listen(t), listen(t)
+				var caches []*gate
+				for range fleet {
+					caches = append(caches, newGate(t))
+				}
 				origin := newGate(t)
 				var entries []string
 				answer, atOrigin := strings.CutPrefix(place.answer, atOnce)
+				writes := place.answer == write
+				atOrigin = atOrigin || writes
 				held := caches
 				if atOrigin {
-					close(caches[0].open)
-					close(caches[1].open)
+					for _, g := range caches {
+						close(g.open)
+					}
 					held = []*gate{origin}
 				}
 				for i, g := range caches {
@@ -183,36 +195,40 @@
 				}))
 				s := &stood{t: t, dir: t.TempDir(), addr: free.Addr().String(), agent: agent, list: list, make: module}
 				free.Close()
-				// Many proxies' settings would have each take a part; one has room for a dozen ops at each cache at first.
 				p := s.startWith(func(text string) string {
 					text = strings.Replace(text, `"cancelling":true`, fmt.Sprintf(`"cancelling":%v`, cancelling), 1)
 					text = strings.Replace(text, `"skus":["box"]`, `"skus":["box","origin"],"family-info":{"mode":"aside","origin-kind":1}`, 1)
 					return strings.Replace(text, `"sockets":256`, `"sockets":4000`, 1)
 				})
 				var conns []net.Conn
-				rounds := many
-				if place.stop {
-					rounds = 20 // what the caches' first limits let in: no answer comes that could lift them
-				}
-				for i := 0; i < rounds; i++ {
+				for i := range many {
 					c, err := net.Dial("tcp", s.addr)
 					if err != nil {
 						t.Fatal(err)
 					}
 					t.Cleanup(func() { c.Close() })
 					conns = append(conns, c)
-					io.WriteString(c, strings.Replace(command(fmt.Sprint("op", i), 4000), "$1\r\nk", fmt.Sprintf("$%d\r\nk%d", len(fmt.Sprint("k", i)), i), 1))
+					text := strings.Replace(command(fmt.Sprint("op", i), 4000), "$1\r\nk", fmt.Sprintf("$%d\r\nk%d", len(fmt.Sprint("k", i)), i), 1)
+					if writes {
+						text = strings.Replace(text, "*4\r\n$9\r\nCACHE.GET", "*5\r\n$9\r\nCACHE.SET", 1) + "$1\r\nv\r\n"
+					}
+					io.WriteString(c, text)
 				}
 				// Set up, not judged: on a machine that is too busy some may not be there yet. Ops end after 4 s.
 				for late := time.Now().Add(2 * time.Second); time.Now().Before(late); time.Sleep(5 * time.Millisecond) {
-					if caches[0].count()+caches[1].count()+p.figure(`svc_refused{class="read"}`) >= rounds {
+					refused := p.figure(`svc_refused{class="read"}`)
+					there, asked := p.figure("svc_in_flight")+refused, refused
+					for _, g := range caches {
+						asked += g.count()
+					}
+					if there >= many && (writes || asked >= many) {
 						break
 					}
 				}
 				waiting := p.figure("svc_in_flight")
-				t.Logf("%d of %d wait", waiting, rounds)
-				if waiting < 8 { // the first stays: with fewer nothing would be shown
-					t.Fatalf("only %d of %d wait", waiting, rounds)
+				t.Logf("%d of %d wait", waiting, many)
+				if waiting < fewest { // with fewer nothing would be shown
+					t.Fatalf("only %d of %d wait", waiting, many)
 				}
 				if place.stop {
 					p.signals <- syscall.SIGTERM
--- a/internal/pool/endings_test.go
+++ b/internal/pool/endings_test.go
@@ -119,7 +119,7 @@
 // Danger: a push whose connection is still coming up when it is given up, or when its client leaves, is written as the connection
 // is up, seconds later. All of them are forced: not one connection is up before all clients have left.
 func TestNothingIsWrittenOnceTheConnectionIsUp(t *testing.T) {
-	const many = 40
+	const many = 300
 	for name, end := range map[string]func(r *engine.Request, giveUp func(engine.When) bool) bool{
 		"taken back":          func(_ *engine.Request, giveUp func(engine.When) bool) bool { return giveUp(engine.Unwritten) },
 		"given up":            func(_ *engine.Request, giveUp func(engine.When) bool) bool { return giveUp(engine.Always) },
