Spans in settings are a year at most; any settings that are taken are shown to serve

Cause: found by walking each field of the settings with another customer's figures (absent, null, 0, 1e-9, 4e9, 9e18, 1e300, -1, text, lists): 9e18 microseconds turned to -1 us as a connect or idle time, 0 as a cold window, and below 0 as the time for which ids are remembered. At fault: Decode's conversions. Nothing else was found: 33 fields and their lists, each value that is taken plays 200 ops to one answer each. Change: one conversion each way, bounded by a year. Tests: TestSpansWithoutAnEnd (0s, -1 us, -1 us without it); TestAnySettingsThatAreTakenServe.

--- /dev/null
+++ b/internal/engine/settings_test.go
@@ -0,0 +1,195 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"minttray/internal/settings"
+	"minttray/policy"
+)
+
+// whole has each field that settings.Decode reads.
+const whole = `{"balancers":3,"beyond-share-benefit":0.1,"blend":{"full-at-nines":2,"nines-part":0.2},
+"categories":[{"benefit":2,"dedup-window-us":300000,"effect":"idempotency_key","group":"zone","name":"put","tardy-benefit":0.3,"target-latency-us":100000,"ttl-us":300000},
+{"benefit":1,"dedup-window-us":0,"effect":"read_like","group":"","name":"get","tardy-benefit":0,"target-latency-us":100000,"ttl-us":200000}],
+"index":1,"client-habits":{"marks-retry":true},
+"contract":{"ask-every-us":5000000,"cold-from":0.3,"fall-multiple":2,"tip-after-us":1000000,"warm-up-us":9000000},
+"deductions":{"connection":0.01,"cross-zone":0.1,"handshake":0.02,"peer":0.01,"probe":0.01},"discovery":"push",
+"family-info":{"mode":"aside","origin-kind":1},
+"limits":{"cancelling":true,"conn-idle-us":60000000,"connect-timeout-us":100000,"max-open":2000,"max-retry-after-us":2000000,"most-pushes":3,"peers":true,"probing":true,"retry-after":true},
+"load-report":{"fields":["svc_ms","queue","qps"],"how":"on_probe"},"skus":["box","origin"],
+"tenants":[{"name":"acme","quota-rps":100},{"name":"other","quota-rps":1}],"tick-us":5000,"weights":"rough","zone":1,"zones":["a","b"]}`
+
+// Danger: a figure that is right by its form, and another customer's, brings the module to a panic, or to ops that never end. Each field in its
+// turn is absent, null, nothing, tiny or huge; whatever is taken plays ops against servers that answer, turn away, fail and are silent.
+func TestAnySettingsThatAreTakenServe(t *testing.T) {
+	var good any
+	if err := json.Unmarshal([]byte(whole), &good); err != nil {
+		t.Fatal(err)
+	}
+	names := paths(good, "")
+	for _, name := range settings.Fields() {
+		if !slices.Contains(names, name) {
+			t.Errorf("%s is read, and stands not in the text above", name)
+		}
+	}
+	taken := 0
+	for _, path := range names {
+		for _, value := range []string{"absent", "null", "0", "1", "1e-9", "1000", "4294967296", "9000000000000000000", "1e300", "-1", `""`, `"x"`, "[]", "{}", "true", "false"} {
+			text := changed(path, value)
+			s, err := settings.Decode([]byte(text))
+			if err != nil {
+				if !strings.HasPrefix(err.Error(), "settings: ") {
+					t.Errorf("%s %s: %v", path, value, err)
+				}
+				continue
+			}
+			taken++
+			if fault := serves(t, s); fault != "" {
+				t.Errorf("%s %s: %s", path, value, fault)
+			}
+		}
+	}
+	if taken < 100 {
+		t.Errorf("only %d were taken", taken)
+	}
+}
+
+// paths names what stands in a document, as a.b.0.c.
+func paths(v any, at string) (all []string) {
+	switch v := v.(type) {
+	case map[string]any:
+		for _, name := range slices.Sorted(maps.Keys(v)) {
+			all = append(append(all, at+name), paths(v[name], at+name+".")...)
+		}
+	case []any:
+		for i, one := range v {
+			all = append(append(all, fmt.Sprint(at, i)), paths(one, fmt.Sprint(at, i, "."))...)
+		}
+	}
+	return all
+}
+
+// changed is the whole text with one value in another's place.
+func changed(path, value string) string {
+	var doc any
+	json.Unmarshal([]byte(whole), &doc)
+	var put func(v any, words []string) any
+	put = func(v any, words []string) any {
+		if len(words) == 0 {
+			return json.RawMessage(value)
+		}
+		switch v := v.(type) {
+		case map[string]any:
+			if v[words[0]] = put(v[words[0]], words[1:]); value == "absent" && len(words) == 1 {
+				delete(v, words[0])
+			}
+		case []any:
+			var i int
+			fmt.Sscan(words[0], &i)
+			if value == "absent" && len(words) == 1 {
+				return slices.Delete(v, i, i+1)
+			}
+			v[i] = put(v[i], words[1:])
+		}
+		return v
+	}
+	text, err := json.Marshal(put(doc, strings.Split(path, ".")))
+	if err != nil {
+		panic(err)
+	}
+	return string(text)
+}
+
+// serves plays ops on an engine whose clock stands in the test's hand, and tells what went wrong.
+func serves(t *testing.T, from settings.Settings) (fault string) {
+	defer func() {
+		if p := recover(); p != nil {
+			fault = fmt.Sprint("panic: ", p)
+		}
+	}()
+	s := &ends{answers: map[string]int{}}
+	e := New(Options{Module: func(s policy.Settings, seed uint64, h policy.Host) Module { return policy.New(s, seed, h) }, Seed: 7, Settings: from.Policy,
+		MaxOps: 1000, MaxBytes: 1 << 20, Connect: func(m Member) Server { return s }})
+	var list []Member
+	for id := uint32(1); id <= 9; id++ {
+		m := member(id, policy.Ready)
+		m.Zone, m.Weight, m.Kind = int(id)%max(from.Policy.Zones, 1), 1, 0
+		if id == 9 {
+			m.Kind = max(from.Policy.OriginKind, 0)
+		}
+		list = append(list, m)
+	}
+	e.Start(noCatalog{}, list)
+	turn := func(span time.Duration) {
+		e.origin = e.origin.Add(-span) // the clock goes on
+		for _, ev := range e.queue.take(nil) {
+			e.handle(ev.do)
+		}
+		e.fire()
+		for _, done := range s.due {
+			done()
+		}
+		s.due = nil
+		for _, ev := range e.queue.take(nil) {
+			e.handle(ev.do)
+		}
+	}
+	const many = 200
+	taken := 0
+	for i := range many {
+		id := fmt.Sprint("op", i)
+		o := &Op{At: time.Now(), Left: time.Duration(100+i) * time.Millisecond, Key: uint64(i % 50), Category: i % len(from.Categories), Tenant: i % 3,
+			Again: i%7 == 0, Request: Request{Key: "k", ID: id, Write: i%5 == 0, Props: "d=1", Wait: [2]int{2, 3}}, Reply: one{s, id}}
+		if e.Submit(o) == nil {
+			taken++
+		}
+		turn(2 * time.Millisecond)
+	}
+	for range 400 {
+		turn(5 * time.Millisecond)
+	}
+	for id, n := range s.answers {
+		if n != 1 {
+			return fmt.Sprintf("%s got %d answers", id, n)
+		}
+	}
+	if len(s.answers) != taken || taken == 0 {
+		return fmt.Sprintf("%d answers to %d ops", len(s.answers), taken)
+	}
+	return ""
+}
+
+// ends is all servers at once: they answer by turns, or not at all.
+type ends struct {
+	n       int
+	due     []func()
+	answers map[string]int
+}
+
+func (s *ends) Push(r *Request, until time.Time, done func(Result)) func(When) bool {
+	s.n++
+	switch how := []policy.Outcome{policy.Acked, policy.Acked, policy.Miss, policy.Full, policy.Errored, policy.Broken, policy.ConnectFailed}[s.n%7]; {
+	case s.n%11 == 0: // it is silent
+	default:
+		s.due = append(s.due, func() { done(Result{Outcome: how, Value: []byte("v"), Waiting: 1, Rate: 10}) })
+	}
+	return func(when When) bool { return when == Always }
+}
+func (s *ends) Release() {}
+func (s *ends) Retire()  {}
+
+type one struct {
+	s  *ends
+	id string
+}
+
+func (o one) Acked([]byte)         { o.s.answers[o.id]++ }
+func (o one) Passed(Body)          { o.s.answers[o.id]++ }
+func (o one) Nacked(time.Duration) { o.s.answers[o.id]++ }
+func (o one) DeadLettered()        { o.s.answers[o.id]++ }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -189,7 +189,14 @@
 	return max(policy.Time(ms*10), 1)
 }
 
-func down(us uint64) policy.Time { return policy.Time(us / 100) }
+// longestSpan bounds all spans, in microseconds: a year, which no process sees the end of, fits into whatever they are counted in.
+const longestSpan = 366 * 24 * uint64(time.Hour/time.Microsecond)
+
+func down(us uint64) policy.Time { return policy.Time(min(us, longestSpan) / 100) }
+
+func up(us uint64) policy.Time { return down(min(us, longestSpan) + 99) }
+
+func span(us uint64) time.Duration { return time.Duration(min(us, longestSpan)) * time.Microsecond }
 
 // Longest is the longest time that an op may be open, by the TTLs of the categories that are asked for.
 func (s Settings) Longest() (longest time.Duration) {
@@ -233,9 +240,9 @@
 		BeyondBenefit: c.Beyond, Proxies: max(c.Balancers, 1), Index: c.Index,
 		AskList: c.Discovery == "ask", AskEvery: down(c.Contract.AskEvery),
 		Aside: c.FamilyInfo.Mode == "aside", OriginKind: -1,
-		ColdFrom: c.Contract.ColdFrom, WarmUp: down(c.Contract.WarmUp + 99),
-		FallMultiple: c.Contract.FallMultiple, TipAfter: down(c.Contract.TipAfter + 99),
-		Tick: max(down(c.Tick+99), 1), MostPushes: 1,
+		ColdFrom: c.Contract.ColdFrom, WarmUp: up(c.Contract.WarmUp),
+		FallMultiple: c.Contract.FallMultiple, TipAfter: up(c.Contract.TipAfter),
+		Tick: max(up(c.Tick), 1), MostPushes: 1,
 		Cancelling: c.Limits.Cancelling, Peers: c.Limits.Peers, MarksRetry: c.Habits.MarksRetry,
 		ConnPrice: c.Deductions.Connection, HandshakePrice: c.Deductions.Handshake,
 		CrossPrice: c.Deductions.CrossZone, ProbePrice: c.Deductions.Probe,
@@ -291,7 +298,7 @@
 	if all.Pace >= 0 {
 		all.PaceField = c.Report.Fields[all.Pace]
 	}
-	all.ConnectTimeout = time.Duration(c.Limits.Connect) * time.Microsecond
-	all.IdleServer = time.Duration(c.Limits.ConnIdle) * time.Microsecond
+	all.ConnectTimeout = span(c.Limits.Connect)
+	all.IdleServer = span(c.Limits.ConnIdle)
 	return all, nil
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,8 @@
 package settings
 
 import (
+	"time"
+
 	"fmt"
 	"reflect"
 	"strings"
@@ -94,3 +96,22 @@
 		t.Errorf("peer: %v", err)
 	}
 }
+
+// Danger: a span that is far too long turns below 0 in nanoseconds, and what should wait for ever does not wait at all.
+func TestSpansWithoutAnEnd(t *testing.T) {
+	const huge = "18446744073709551615"
+	s, err := Decode([]byte(`{"categories":[{"name":"a","effect":"idempotency_key","target-latency-us":` + huge + `,"ttl-us":` + huge + `,"dedup-window-us":` + huge + `}],
+		"contract":{"ask-every-us":` + huge + `,"tip-after-us":` + huge + `,"warm-up-us":` + huge + `},"tick-us":` + huge + `,
+		"limits":{"connect-timeout-us":` + huge + `,"conn-idle-us":` + huge + `,"retry-after":true,"max-retry-after-us":` + huge + `}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := s.Policy
+	least := min(p.Categories[0].Target, p.Categories[0].TTL, p.Categories[0].Window, p.AskEvery, p.TipAfter, p.WarmUp, p.Tick, p.MaxRetryAfter)
+	if most := policy.Time(1 << 40); least <= 10000 || p.Categories[0].TTL > most {
+		t.Errorf("%+v", p)
+	}
+	if s.Longest() <= time.Second || s.ConnectTimeout <= time.Second || s.IdleServer <= time.Second {
+		t.Errorf("%v, %v, %v", s.Longest(), s.ConnectTimeout, s.IdleServer)
+	}
+}
