Tests of the daemon listen at addresses of their own

Cause of the one failure in 20 that had no cause (and of one of 20 runs today, 'not ready' after 20 s with an empty log): a test took a free port of 127.0.0.1, let go of it and had the daemon listen there later; beside it other tests opened listeners, sixty at a time, one of which got that port; the daemon waits 5 s for an address in use and ends. Excluded: the daemon (its log is empty, it never came to serve), the machine (the other 21 rows of that run passed within 2 s). Change: vacant() gives each process an IP of its own in 127.0.0.0/8. No wait or check is changed.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -79,6 +79,21 @@
 	return l
 }
 
+var vacancies atomic.Uint32
+
+// vacant is an address for a process to listen at. Each has an IP of its own: on a common one another test's listener, or a connection,
+// may take the port before the process does.
+func vacant(t *testing.T) string {
+	t.Helper()
+	n := vacancies.Add(1)
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 16+os.Getpid()%200, n/250, 1+n%250))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
 func get(c net.Conn, r *bufio.Reader, key, id string) (string, error) {
 	props := "c=read,t=acme,d=5000"
 	if _, err := fmt.Fprintf(c, "*4\r\n$9\r\nCACHE.GET\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n",
@@ -102,9 +117,7 @@
 // A pool's configuration, carried over to one proxy a client: the new file starts a proxy beside the old one, which
 // asks caches for their load before it pushes, and serves.
 func TestProxyOfAnotherShape(t *testing.T) {
-	one, discovery, free := listen(t), listen(t), listen(t)
-	addr := free.Addr().String()
-	free.Close()
+	one, discovery, addr := listen(t), listen(t), vacant(t)
 	go cache(one)
 	go http.Serve(discovery, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.RawQuery != "" && !strings.Contains(r.URL.RawQuery, "index=0") {
@@ -158,9 +171,7 @@
 // The whole program: hits and misses are served, the counters are printed on request, and the word to stop under
 // load loses nothing.
 func TestProxy(t *testing.T) {
-	one, two, origin, discovery, free := listen(t), listen(t), listen(t), listen(t), listen(t)
-	addr := free.Addr().String()
-	free.Close()
+	one, two, origin, discovery, addr := listen(t), listen(t), listen(t), listen(t), vacant(t)
 	go cache(one)
 	go cache(two)
 	var fetched atomic.Int32
--- a/internal/daemon/days_test.go
+++ b/internal/daemon/days_test.go
@@ -36,10 +36,7 @@
 }
 
 func stand(t *testing.T) *stood {
-	s := &stood{t: t, dir: t.TempDir(), agent: listen(t), make: module}
-	free := listen(t)
-	s.addr = free.Addr().String()
-	free.Close()
+	s := &stood{t: t, dir: t.TempDir(), addr: vacant(t), agent: listen(t), make: module}
 	var entries []string
 	for i := range s.asked {
 		l := listen(t)
@@ -102,11 +99,9 @@
 }
 
 func (s *stood) begin(log io.Writer, change func(text string) string) *process {
-	free := listen(s.t)
-	p := &process{s: s, control: free.Addr().String(), path: filepath.Join(s.t.TempDir(), "config.json"),
+	p := &process{s: s, control: vacant(s.t), path: filepath.Join(s.t.TempDir(), "config.json"),
 		signals: make(chan os.Signal, 4), ended: make(chan error, 1)}
 	p.log, _ = log.(*bytes.Buffer)
-	free.Close()
 	p.write(change(s.config(p, "read")))
 	go func() {
 		p.ended <- run(func(name string) string {
--- a/internal/daemon/endings_test.go
+++ b/internal/daemon/endings_test.go
@@ -159,7 +159,7 @@
 		for _, cancelling := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s, cancelling %v", name, cancelling), func(t *testing.T) {
 				t.Parallel()
-				agent, free := listen(t), listen(t)
+				agent := listen(t)
 				var caches []*gate
 				for range fleet {
 					caches = append(caches, newGate(t))
@@ -193,8 +193,7 @@
 					}
 					io.WriteString(w, list)
 				}))
-				s := &stood{t: t, dir: t.TempDir(), addr: free.Addr().String(), agent: agent, list: list, make: module}
-				free.Close()
+				s := &stood{t: t, dir: t.TempDir(), addr: vacant(t), agent: agent, list: list, make: module}
 				p := s.startWith(func(text string) string {
 					text = strings.Replace(text, `"cancelling":true`, fmt.Sprintf(`"cancelling":%v`, cancelling), 1)
 					text = strings.Replace(text, `"skus":["box"]`, `"skus":["box","origin"],"family-info":{"mode":"aside","origin-kind":1}`, 1)
