What no server has wholly got ends with its op, also as the process ends

Cause: engine.end took back only pushes of which no byte was written. One that lay in our system's buffer for a server that hangs stayed out until its own time: sent later for an op that was answered, or whose client had left, and by a process that ended sent by its system after it. Cancelling is another matter: no server has it. Change: end gives such a push up as well (Unsent); its outcome is Cancelled, from which nothing is learned. The daemon lets its idle connections go at its end.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -225,6 +225,7 @@
 	}
 	counters()
 	cancel()
+	shared.Release()
 	select {
 	case <-keeping:
 	case <-time.After(keepTime): // a disk that does not answer holds nobody up
--- a/internal/daemon/endings_test.go
+++ b/internal/daemon/endings_test.go
@@ -44,13 +44,14 @@
 // gate is a cache or an origin that writes down what it is sent and answers nothing before the test lets it.
 type gate struct {
 	net.Listener
+	t    *testing.T
 	mu   sync.Mutex
 	sent map[string]time.Time // by id
 	open chan struct{}
 }
 
 func newGate(t *testing.T) *gate {
-	return &gate{Listener: listen(t), sent: map[string]time.Time{}, open: make(chan struct{})}
+	return &gate{Listener: listen(t), t: t, sent: map[string]time.Time{}, open: make(chan struct{})}
 }
 
 func (g *gate) came(id string) {
@@ -78,6 +79,7 @@
 		if err != nil {
 			return
 		}
+		g.t.Cleanup(func() { c.Close() })
 		go func() {
 			defer c.Close()
 			for r := bufio.NewReader(c); ; {
--- a/internal/engine/endings_test.go
+++ b/internal/engine/endings_test.go
@@ -55,6 +55,32 @@
 	}
 }
 
+// Danger: an op has its answer, or its client has left, while its push lies in the system's buffer for a cache that hangs: it is sent on once
+// that is back, maybe after this process has ended. What the settings say of cancelling does not matter: no server has it.
+func TestWhatHasNotComeEndsWithItsOp(t *testing.T) {
+	for name, end := range map[string]func(e *Engine, o *Op){
+		"its client has left":  func(e *Engine, o *Op) { e.Leave(o) },
+		"the process ends":     func(e *Engine, o *Op) { e.HandBack(patience) },
+		"its time is long up":  func(e *Engine, o *Op) { e.Do(func(e *Engine) { e.expire(o.held) }) },
+		"it was answered late": func(e *Engine, o *Op) { e.Do(func(e *Engine) { e.Nack(o.held.id, 0) }) },
+	} {
+		for category := range 3 {
+			t.Run(fmt.Sprint(name, category), func(t *testing.T) {
+				e, s := play(t, func(o *Options) { o.Settings.Cancelling = false })
+				s.unsent = true
+				o := s.op("a", category)
+				e.Submit(o)
+				s.await(0, "push cache")
+				end(e, o)
+				s.await(0, "thrown away cache")
+				if c := settled(e); c.Withdrawn != 0 || c.Pushes[policy.Cancelled] != 1 || e.ops.Load() != 0 || s.lines("push") != 1 {
+					t.Errorf("%+v", c)
+				}
+			})
+		}
+	}
+}
+
 // What was written runs on under its rule: it is not given up where servers take no cancelling.
 func TestWhatIsWrittenRunsOn(t *testing.T) {
 	e, s := play(t, func(o *Options) { o.Settings.Cancelling = false })
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -310,13 +310,15 @@
 }
 
 // end marks an op as over: the one place through which each op goes once. Danger: a push that still dials, or waits for
-// another connection, would be written after the op's answer or its client's leaving. To take it back is no cancelling:
-// no server has heard of it.
+// another connection, or lies in our system's buffer for a server that hangs, would come after the op's answer or its
+// client's leaving. To take it back is no cancelling: no server has all of it.
 func (e *Engine) end(h *op) {
 	h.over = true
 	for _, p := range h.out {
 		if p.giveUp(Unwritten) {
 			e.later = append(e.later, func() { e.withdrawn(h, p) })
+		} else if p.giveUp(Unsent) {
+			e.later = append(e.later, func() { e.ended(h, p, Result{Outcome: policy.Cancelled}) })
 		}
 	}
 }
--- a/internal/pool/budget.go
+++ b/internal/pool/budget.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -94,17 +96,24 @@
 	return true
 }
 
+// Release closes all idle connections: nobody will use them.
+func (s *Shared) Release() {
+	for _, p := range s.all() {
+		p.Release()
+	}
+}
+
+func (s *Shared) all() []*Pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.pools))
+}
+
 // Sweep closes idle connections that the servers have ended, or soon will: a push written as one closes counts as one
 // that may have run. It is called every second or so.
 func (s *Shared) Sweep(now time.Time) {
 	fresh := s.fresh(now)
-	s.mu.Lock()
-	pools := make([]*Pool, 0, len(s.pools))
-	for p := range s.pools {
-		pools = append(pools, p)
-	}
-	s.mu.Unlock()
-	for _, p := range pools {
+	for _, p := range s.all() {
 		p.mu.Lock()
 		for _, c := range append([]*conn(nil), p.idle...) {
 			if c.since.Before(fresh) || c.look() != nil {
--- a/internal/pool/endings_test.go
+++ b/internal/pool/endings_test.go
@@ -383,3 +383,26 @@
 		t.Errorf("%+v", r)
 	}
 }
+
+// Danger: a process that ends, and goes on for whatever reason, keeps descriptors, and the servers' places, for nobody.
+func TestNoIdleConnectionIsKeptAtTheEnd(t *testing.T) {
+	s := shared()
+	for i := range 3 {
+		addr := listen(t, func(n int, c net.Conn) {
+			for r := bufio.NewReader(c); ; {
+				if _, err := command(r); err != nil {
+					return
+				}
+				io.WriteString(c, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
+			}
+		})
+		results, _ := push(pool.New(s, addr, caches.Protocol{}), request(fmt.Sprint(i)))
+		wait(t, results)
+	}
+	if s.Open() != 3 {
+		t.Errorf("%d open", s.Open())
+	}
+	if s.Release(); s.Open() != 0 {
+		t.Errorf("%d open", s.Open())
+	}
+}
