A drain whose address can't be read is kept; a whole list without instances is none

Cause (read from the code): an entry with a bad hostPort was passed over whatever its lifecycle, so that a change to leaving was not heard and the cache went on being used past its grace; and a document with reset and no instances at all (cut short by its writer) was taken for an empty list, which names every cache gone. Excluded: left, which needs no address; instances that are null, which some writers make of an empty list and which stays one. Change: such a drain tells that the cache has gone: nothing goes there either way.

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -277,6 +277,7 @@
 func TestBadDocuments(t *testing.T) {
 	names := NewNames(nil, []string{"box"}, zerolog.Nop())
 	for _, text := range []string{"", "[]", "null", "{}", `{"instances":[]}`, `{"generation":-1}`, `{"generation":1,"instances":{}}`,
+		`{"generation":1,"reset":true}`, // no list at all: it would name all caches gone
 		`{"generation":1,"instances":[{"instanceId":5}]}`, list(1, true, entry("x", "active")) + "}"} {
 		if _, _, err := names.decode([]byte(text)); err == nil {
 			t.Errorf("%q was taken", text)
@@ -292,6 +293,13 @@
 			t.Errorf("%s: %d members, %v", bad, len(members), err)
 		}
 	}
+	// Danger: a drain whose address can't be read is a drain, and would be passed over.
+	for _, addr := range []string{"", "127.0.0.1", "127.0.0.1:0", "?:http"} {
+		drains := strings.Replace(entry("y", "leaving"), "127.0.0.1:6379", addr, 1)
+		if _, members, err := names.decode([]byte(list(1, false, drains))); err != nil || len(members) != 1 || members[0].State != policy.Gone {
+			t.Errorf("%s: %+v, %v", drains, members, err)
+		}
+	}
 	_, members, err := names.decode([]byte(list(1, true, entry("x", "active"), entry("x", "leaving"))))
 	if err != nil || len(members) != 1 || members[0].State != policy.Draining {
 		t.Errorf("an entry twice: %+v, %v", members, err)
--- a/internal/discovery/entries.go
+++ b/internal/discovery/entries.go
@@ -16,9 +16,20 @@
 )
 
 type document struct {
-	Generation *uint64    `json:"generation"`
-	Reset      bool       `json:"reset"`
-	Instances  []instance `json:"instances"`
+	Generation *uint64   `json:"generation"`
+	Reset      bool      `json:"reset"`
+	Instances  instances `json:"instances"`
+}
+
+// instances knows whether it stands there at all.
+type instances struct {
+	all   []instance
+	there bool
+}
+
+func (l *instances) UnmarshalJSON(text []byte) error {
+	l.there = true
+	return json.Unmarshal(text, &l.all)
 }
 
 type instance struct {
@@ -91,8 +102,11 @@
 	if doc.Generation == nil {
 		return doc, nil, fmt.Errorf("no generation")
 	}
+	if doc.Reset && !doc.Instances.there {
+		return doc, nil, fmt.Errorf("a whole list without instances") // not an empty one: all caches would be gone
+	}
 	at, bad, last := map[string]int{}, 0, error(nil)
-	for _, in := range doc.Instances {
+	for _, in := range doc.Instances.all {
 		m, err := n.member(in)
 		if err != nil {
 			bad, last = bad+1, err
@@ -116,7 +130,7 @@
 // comes back gets its number again, which is a hash of its id.
 func (n *Names) forget(doc document) {
 	listed := map[string]bool{}
-	for _, in := range doc.Instances {
+	for _, in := range doc.Instances.all {
 		if listed[in.ID] = states[in.Lifecycle] != policy.Gone; !listed[in.ID] {
 			n.drop(in.ID)
 		}
@@ -144,13 +158,14 @@
 	if !ok {
 		return m, fmt.Errorf("%s: unknown lifecycle %q", in.ID, in.Lifecycle)
 	}
-	if _, port, err := net.SplitHostPort(in.Addr); state != policy.Gone {
-		if err != nil {
-			return m, fmt.Errorf("%s: %w", in.ID, err)
-		}
-		if p, err := strconv.ParseUint(port, 10, 16); err != nil || p == 0 {
-			return m, fmt.Errorf("%s: no port in %q", in.ID, in.Addr)
-		}
+	_, port, err := net.SplitHostPort(in.Addr)
+	if p, wrong := strconv.ParseUint(port, 10, 16); err == nil && (wrong != nil || p == 0) {
+		err = fmt.Errorf("no port in %q", in.Addr)
+	}
+	if err != nil && state == policy.Ready {
+		return m, fmt.Errorf("%s: %w", in.ID, err)
+	} else if err != nil {
+		state = policy.Gone // Danger: a drain that was passed over would not be kept; nothing goes there either way
 	}
 	m.Entry = policy.Entry{ID: n.number(in.ID), Zone: n.index(n.zones, in.Zone), Kind: n.index(n.kinds, in.Machine),
 		Cell: in.Cell, State: state, Weight: 1}
