Test: nothing of an op that is over comes to a cache that hangs, through the whole proxy

A cache with room for a few KiB reads one byte of a 512 KiB write until the op's time is up, its client has left or its process has ended, with and without cancelling, and reads on then.

--- a/internal/daemon/endings_test.go
+++ b/internal/daemon/endings_test.go
@@ -15,6 +15,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Danger: SIGKILL comes a little after the longest TTL, not after all of the time that operators allow; an op that is open then is lost.
@@ -330,3 +332,95 @@
 		})
 	}
 }
+
+// broken waits until a connection is, without taking a byte.
+func broken(c net.Conn, patience time.Duration) {
+	raw, err := c.(syscall.Conn).SyscallConn()
+	for late := time.Now().Add(patience); err == nil && time.Now().Before(late); time.Sleep(time.Millisecond) {
+		p := []unix.PollFd{{Events: unix.POLLRDHUP}}
+		raw.Control(func(fd uintptr) {
+			p[0].Fd = int32(fd)
+			unix.Poll(p, 0)
+		})
+		if p[0].Revents&(unix.POLLHUP|unix.POLLERR) != 0 {
+			return
+		}
+	}
+}
+
+// Danger: an op is over, and its push lies in the system's buffer for a cache that hangs: the cache gets it once it is back. Here it reads
+// one byte, with room for a few KiB more, until the op has ended in each of three ways; then all that comes.
+func TestNothingComesOfAnOpThatIsOver(t *testing.T) {
+	const size = 512 << 10 // longer than a cache's room, not than our system's
+	for name, end := range map[string]func(p *process, c net.Conn, r *bufio.Reader){
+		"its time is up": func(p *process, c net.Conn, r *bufio.Reader) {
+			if line, err := r.ReadString('\n'); err != nil || !strings.HasPrefix(line, "-") {
+				p.s.t.Errorf("%q, %v", line, err)
+			}
+		},
+		"its client leaves": func(p *process, c net.Conn, r *bufio.Reader) {
+			c.Close()
+			p.until("over", func() bool { return p.figure("svc_in_flight") == 0 })
+		},
+		"its process ends": func(p *process, c net.Conn, r *bufio.Reader) {
+			p.signals <- syscall.SIGTERM
+			if line, err := r.ReadString('\n'); err != nil || !strings.HasPrefix(line, "-") {
+				p.s.t.Errorf("%q, %v", line, err)
+			}
+			if err := <-p.ended; err != nil {
+				p.s.t.Error(err)
+			}
+			p.ended <- nil
+		},
+	} {
+		for _, cancelling := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, cancelling %v", name, cancelling), func(t *testing.T) {
+				t.Parallel()
+				s := stand(t)
+				s.say("[stop]\nwithin = \"1s\"\nclose = \"500ms\"\n")
+				read, got := make(chan bool), make(chan int64, 16)
+				l, err := (&net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+					return c.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 2<<10) })
+				}}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { l.Close() })
+				go func() {
+					for {
+						c, err := l.Accept()
+						if err != nil {
+							return
+						}
+						go func() {
+							defer c.Close()
+							c.Read(make([]byte, 1))
+							<-read
+							broken(c, patience/4) // the engine may come to the end a moment after its client hears of it
+							n, _ := io.Copy(io.Discard, c)
+							got <- n
+						}()
+					}
+				}()
+				s.list = `{"generation":1,"reset":true,"instances":[` + entry("deaf", "box", l) + "]}"
+				p := s.startWith(func(text string) string {
+					return strings.Replace(text, `"cancelling":true`, fmt.Sprintf(`"cancelling":%v`, cancelling), 1)
+				})
+				c, r := s.dial()
+				text := strings.Replace(command("op", 1500), "*4\r\n$9\r\nCACHE.GET", "*5\r\n$9\r\nCACHE.SET", 1)
+				fmt.Fprintf(c, "%s$%d\r\n%s\r\n", text, size, make([]byte, size))
+				p.until("with our system, whole", func() bool { return p.figure("svc_attempts") == 1 })
+				end(p, c, r)
+				close(read)
+				if n := <-got; n >= size {
+					t.Errorf("%d bytes of it came all the same", n)
+				}
+				p.signals <- syscall.SIGTERM
+				c.Close()
+				if err := <-p.ended; err != nil {
+					t.Error(err)
+				}
+			})
+		}
+	}
+}
