Tests of the daemon keep off the lab's addresses

Cause: vacant() draws its network from the process's number, 127.16 to 127.215, and the lab's stand-ins hold 127.27 and up: now 127.64 to 127.191.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -86,7 +86,7 @@
 func vacant(t *testing.T) string {
 	t.Helper()
 	n := vacancies.Add(1)
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 16+os.Getpid()%200, n/250, 1+n%250))
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%128, n/250, 1+n%250))
 	if err != nil {
 		t.Fatal(err)
 	}
