--- a/internal/pool/endings_test.go
+++ b/internal/pool/endings_test.go
@@ -132,6 +132,7 @@
 			s.Dial = long
 			s.Sockets.Store(2 * many)
 			p := pool.New(s, server.addr, caches.Protocol{})
+			t.Cleanup(p.Retire)
 			var ended []chan engine.Result
 			var ends []func() bool
 			before := server.knocking(t)
