Tests of the engine: the ways in which an op ends stand once

Cause: two tables of the same four ends stood beside each other (TestWhatIsNotWrittenEndsWithItsOp, TestWhatHasNotComeEndsWithItsOp). Change: one, opEnds; rows and checks are as they were.

--- a/internal/engine/endings_test.go
+++ b/internal/engine/endings_test.go
@@ -27,15 +27,18 @@
 	return s.log[at]
 }
 
+// opEnds are the ways in which an op ends while a push for it is out.
+var opEnds = map[string]func(e *Engine, o *Op){
+	"its client has left":  func(e *Engine, o *Op) { e.Leave(o) },
+	"the process ends":     func(e *Engine, o *Op) { e.HandBack(patience) },
+	"its time is long up":  func(e *Engine, o *Op) { e.Do(func(e *Engine) { e.expire(o.held) }) },
+	"it was answered late": func(e *Engine, o *Op) { e.Do(func(e *Engine) { e.Nack(o.held.id, 0) }) },
+}
+
 // Danger: where servers take no cancelling, a push that still dials as its op ends is written after the op's answer, or for a
 // client that has left. What no server has heard of is withdrawn, whatever the settings say.
 func TestWhatIsNotWrittenEndsWithItsOp(t *testing.T) {
-	for name, end := range map[string]func(e *Engine, o *Op){
-		"its client has left":  func(e *Engine, o *Op) { e.Leave(o) },
-		"the process ends":     func(e *Engine, o *Op) { e.HandBack(patience) },
-		"its time is long up":  func(e *Engine, o *Op) { e.Do(func(e *Engine) { e.expire(o.held) }) },
-		"it was answered late": func(e *Engine, o *Op) { e.Do(func(e *Engine) { e.Nack(o.held.id, 0) }) },
-	} {
+	for name, end := range opEnds {
 		for _, cancelling := range []bool{false, true} {
 			for category := range 3 { // an at-most-once op as well
 				t.Run(fmt.Sprint(name, cancelling, category), func(t *testing.T) {
@@ -58,12 +61,7 @@
 // Danger: an op has its answer, or its client has left, while its push lies in the system's buffer for a cache that hangs: it is sent on once
 // that is back, maybe after this process has ended. What the settings say of cancelling does not matter: no server has it.
 func TestWhatHasNotComeEndsWithItsOp(t *testing.T) {
-	for name, end := range map[string]func(e *Engine, o *Op){
-		"its client has left":  func(e *Engine, o *Op) { e.Leave(o) },
-		"the process ends":     func(e *Engine, o *Op) { e.HandBack(patience) },
-		"its time is long up":  func(e *Engine, o *Op) { e.Do(func(e *Engine) { e.expire(o.held) }) },
-		"it was answered late": func(e *Engine, o *Op) { e.Do(func(e *Engine) { e.Nack(o.held.id, 0) }) },
-	} {
+	for name, end := range opEnds {
 		for category := range 3 {
 			t.Run(fmt.Sprint(name, category), func(t *testing.T) {
 				e, s := play(t, func(o *Options) { o.Settings.Cancelling = false })
