An attempt at the origin passes what is left, not the client's deadline

Root cause: the deadline had no owner. A request kept its client's list of names and values whole, with the client's d in it, beside a place that said where d stands. The caches' wire replaced d by what was left; the origin's wire ignored what it was handed and sent the list as it came (origin.Protocol.Append, its third argument unnamed). Each attempt at the origin that followed a miss, an error, a time-out, a lost connection, a hedge or a wait in the queue told the client's whole deadline again.

Change: internal/deadline owns it. The front makes a Deadline where it reads the request and cuts d out of the list; engine and pool only see Properties, which can't be written without what one attempt passes, and that comes from Deadline.Pass alone, called in conn.send right ahead of the write, for caches and the origin alike. Less than a millisecond left is no attempt (it was told as 1 ms). A sixteenth of what is left is kept back for the time between the clock and the last byte, a quarter for a value in parts, and a write that takes longer than that is broken off: it used to go on with the old figure for as long as the server was slow.

--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -9,11 +9,11 @@
 	"math"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/tidwall/redcon"
 
 	"minttray/internal/buffer"
+	"minttray/internal/deadline"
 	"minttray/internal/engine"
 	"minttray/internal/pool"
 	"minttray/internal/resp"
@@ -28,8 +28,8 @@
 	Pace, Waiting, Rate string
 }
 
-// Append writes the command as the client sent it, but for the time that this push has.
-func (Protocol) Append(b []byte, r *engine.Request, left time.Duration) (out []byte, gap int) {
+// Append writes the command as the client sent it, but for the deadline, which is the attempt's own.
+func (Protocol) Append(b []byte, r *engine.Request, passed deadline.Passed) (out []byte, gap int) {
 	if r.Probe {
 		return redcon.AppendBulkString(redcon.AppendBulkString(redcon.AppendArray(b, 2), "INFO"), "load"), 0
 	}
@@ -45,8 +45,7 @@
 	}
 	b = redcon.AppendBulkString(b, r.Key)
 	b = redcon.AppendBulkString(b, r.ID)
-	wait := strconv.FormatInt(max(left.Milliseconds(), 1), 10)
-	b = redcon.AppendBulkString(b, r.Props[:r.Wait[0]]+wait+r.Props[r.Wait[1]:])
+	b = redcon.AppendBulk(b, r.Properties.Append(nil, passed))
 	if len(r.Parts) > 0 {
 		b = append(strconv.AppendInt(append(b, '$'), int64(r.Size()), 10), "\r\n"...)
 		return append(b, "\r\n"...), len(b)
--- /dev/null
+++ b/internal/deadline/deadline_test.go
@@ -0,0 +1,100 @@
+package deadline
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestPass(t *testing.T) {
+	const never = time.Hour
+	for name, c := range map[string]struct {
+		wait, waited, until time.Duration
+		how                 Transfer
+		milliseconds        int64 // 0: no attempt
+	}{
+		"at once":                    {480 * time.Millisecond, 0, never, Held, 450},
+		"later":                      {480 * time.Millisecond, 160 * time.Millisecond, never, Held, 300},
+		"in parts":                   {480 * time.Millisecond, 160 * time.Millisecond, never, Parts, 240},
+		"the proxy waits for less":   {480 * time.Millisecond, 160 * time.Millisecond, 100 * time.Millisecond, Held, 100},
+		"rounded down":               {100 * time.Millisecond, 0, never, Held, 93},
+		"just enough":                {1067 * time.Microsecond, 0, never, Held, 1},
+		"under a millisecond":        {1066 * time.Microsecond, 0, never, Held, 0},
+		"nothing left":               {time.Second, time.Second, never, Held, 0},
+		"past":                       {time.Second, 2 * time.Second, never, Held, 0},
+		"the proxy waits no longer":  {time.Second, 0, 0, Held, 0},
+		"the proxy's wait is past":   {time.Second, 0, -time.Second, Held, 0},
+		"as long as a client may":    {time.Hour, 0, never, Held, 3_375_000},
+		"a fraction of a tick short": {time.Second, 999 * time.Millisecond, never, Parts, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			received := time.Now()
+			now := received.Add(c.waited)
+			passed, err := After(received, c.wait).Pass(now, now.Add(c.until), c.how)
+			if c.milliseconds == 0 && !errors.Is(err, ErrNoTime) || c.milliseconds > 0 && err != nil || passed.Milliseconds() != c.milliseconds {
+				t.Errorf("%d ms, %v; %d ms wanted", passed.Milliseconds(), err, c.milliseconds)
+			}
+		})
+	}
+}
+
+// Whatever is drawn: what is passed is at least a millisecond, never more than is left up to WriteBy, and no less than what is left or waited
+// for, less the margin and the rounding.
+func TestPassedIsWithinWhatIsLeft(t *testing.T) {
+	start := time.Now()
+	rapid.Check(t, func(t *rapid.T) {
+		span := func(name string, most time.Duration) time.Duration {
+			return time.Duration(rapid.Int64Range(0, int64(most)).Draw(t, name))
+		}
+		wait, waited, until := span("wait", time.Hour), span("waited", time.Minute), span("until", time.Minute)
+		how := rapid.SampledFrom([]Transfer{Held, Parts}).Draw(t, "how")
+		d, now := After(start, wait), start.Add(waited)
+		passed, err := d.Pass(now, now.Add(until), how)
+		left := d.Left(now)
+		share := map[Transfer]time.Duration{Held: heldMargin, Parts: partsMargin}[how]
+		most := min(left-left/share, until)
+		if err != nil {
+			if most >= least {
+				t.Fatalf("%v, though %v could be passed", err, most)
+			}
+			return
+		}
+		told := time.Duration(passed.Milliseconds()) * time.Millisecond
+		if told < least || told > most || told <= most-time.Millisecond {
+			t.Fatalf("%v is passed, %v could be", told, most)
+		}
+		if by := passed.WriteBy(); told > d.Left(by) || by.Before(now) {
+			t.Fatalf("%v is passed up to %v from now, %v are left then", told, by.Sub(now), d.Left(by))
+		}
+	})
+}
+
+// A deadline can only be lowered.
+func TestAtMostOnlyLowers(t *testing.T) {
+	now := time.Now()
+	d := After(now, time.Second)
+	if left := d.AtMost(now.Add(2 * time.Second)).Left(now); left != time.Second {
+		t.Errorf("%v left", left)
+	}
+	if left := d.AtMost(now.Add(time.Millisecond)).Left(now); left != time.Millisecond {
+		t.Errorf("%v left", left)
+	}
+}
+
+func TestPropertiesKeepAllButTheDeadline(t *testing.T) {
+	const list = "c=read,d=480.5,t=acme,x=d"
+	p := Cut(list, 9, 14)
+	now := time.Now()
+	passed, err := After(now, time.Second).Pass(now, now.Add(7*time.Millisecond), Held)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := string(p.Append(nil, passed)); got != "c=read,d=7,t=acme,x=d" {
+		t.Error(got)
+	}
+	if p.Size() != len(list)-len("480.5") {
+		t.Error(p.Size())
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -227,7 +227,7 @@
 
 // Submit hands an op in. With an error the op was not taken, and the front turns it away.
 func (e *Engine) Submit(o *Op) error {
-	size := int64(len(o.Request.Value) + len(o.Request.Props) + len(o.Request.Key) + len(o.Request.ID))
+	size := int64(len(o.Request.Value) + o.Request.Properties.Size() + len(o.Request.Key) + len(o.Request.ID))
 	ops, bytes := e.ops.Add(1), e.bytes.Add(size)
 	if ops > e.maxOps.Load() || bytes > e.MaxBytes || e.ending.Load() {
 		e.ops.Add(-1)
@@ -267,14 +267,12 @@
 		e.bytes.Add(-size)
 		return
 	}
-	at := e.offset + policy.Time(o.At.Sub(e.origin)/unit)
-	// No client waits longer than its category's TTL, whatever it says; else a slip there would hold memory.
-	left := policy.Time(o.Left / unit)
-	if longest := e.Settings.Categories[o.Category].TTL; longest > 0 {
-		left = min(left, longest)
-	}
-	h := &op{Op: o, ttl: at + left, size: size, most: e.Settings.MostPushes}
 	c := e.Settings.Categories[o.Category]
+	if c.TTL > 0 { // No client waits longer than that, whatever it says; else a slip there would hold memory.
+		o.Request.Deadline = o.Request.Deadline.AtMost(o.At.Add(time.Duration(c.TTL) * unit))
+	}
+	ttl := e.offset + policy.Time(o.Request.Deadline.Left(e.origin)/unit)
+	h := &op{Op: o, ttl: ttl, size: size, most: e.Settings.MostPushes}
 	if h.effect = c.Effect; h.effect == policy.Deduplicated {
 		h.window = c.Window
 	}
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -10,18 +10,19 @@
 
 	"minttray/decide/evidence"
 	"minttray/decide/warm"
+	"minttray/internal/deadline"
 	"minttray/policy"
 )
 
 // Request is what goes on to a server, apart from its form on the wire.
 type Request struct {
-	Key, ID string
-	Write   bool
-	Props   string // name=value,name=value as the client sent them
-	Wait    [2]int // where in Props the client's waiting time stands, in milliseconds
-	Value   []byte
-	Parts   [][]byte // a value that is longer than Whole, in its place
-	Probe   bool     // no op, but the question for a load report
+	Key, ID    string
+	Write      bool
+	Properties deadline.Properties
+	Deadline   deadline.Deadline // its client's; once the request is submitted, the engine alone may lower it, and does so ahead of attempts
+	Value      []byte
+	Parts      [][]byte // a value that is longer than Whole, in its place
+	Probe      bool     // no op, but the question for a load report
 
 	left atomic.Bool
 }
@@ -51,9 +52,8 @@
 
 // Op is one op as a front takes it.
 type Op struct {
-	At               time.Time // when its last byte could be read: its time counts from here
-	Left             time.Duration
-	Key              uint64 // 0: none
+	At               time.Time // when its last byte may have come
+	Key              uint64    // 0: none
 	Category, Tenant int
 	Again            bool // marked as a try that comes again
 	Request          Request
--- a/internal/front/command.go
+++ b/internal/front/command.go
@@ -11,6 +11,7 @@
 
 	"github.com/tidwall/redcon"
 
+	"minttray/internal/deadline"
 	"minttray/internal/engine"
 	"minttray/internal/figures"
 	"minttray/internal/resp"
@@ -66,8 +67,8 @@
 	return n
 }
 
-// parse makes an op of a command's words. The error says what is wrong, for the client.
-func (n Names) parse(words [][]byte, write bool) (*engine.Op, error) {
+// parse makes an op of a command's words, whose last byte came at a moment. The error says what is wrong, for the client.
+func (n Names) parse(words [][]byte, write bool, received time.Time) (*engine.Op, error) {
 	want := 4
 	if write {
 		want = 5
@@ -75,33 +76,35 @@
 	if len(words) != want {
 		return nil, fmt.Errorf("wrong number of arguments: %d words wanted, %d came", want, len(words))
 	}
-	o := &engine.Op{Tenant: engine.NoTenant}
-	o.Request = engine.Request{Key: string(words[1]), ID: string(words[2]), Props: string(words[3]), Write: write}
+	o := &engine.Op{At: received, Tenant: engine.NoTenant}
+	o.Request = engine.Request{Key: string(words[1]), ID: string(words[2]), Write: write}
 	for i, name := range []string{o.Request.Key, o.Request.ID} {
 		if !plain(name) {
 			return nil, fmt.Errorf("%s is empty, too long or not plain text", []string{"key", "id"}[i])
 		}
 	}
-	if strings.ContainsAny(o.Request.Props, "\r\n") {
+	list := string(words[3])
+	if strings.ContainsAny(list, "\r\n") {
 		return nil, errors.New("line break in the properties")
 	}
 	if write {
 		o.Request.Value = append([]byte(nil), words[4]...)
 	}
 	o.Key = hash(o.Request.Key)
-	return o, n.properties(o)
+	return o, n.properties(o, list)
 }
 
-func (n Names) properties(o *engine.Op) error {
+// properties reads a request's list of names and values.
+func (n Names) properties(o *engine.Op, list string) error {
 	category, wait, tenant, marked := false, false, false, false
-	for at := 0; at <= len(o.Request.Props); {
-		end := strings.IndexByte(o.Request.Props[at:], ',')
+	for at := 0; at <= len(list); {
+		end := strings.IndexByte(list[at:], ',')
 		if end < 0 {
-			end = len(o.Request.Props)
+			end = len(list)
 		} else {
 			end += at
 		}
-		name, value, _ := strings.Cut(o.Request.Props[at:end], "=")
+		name, value, _ := strings.Cut(list[at:end], "=")
 		var ok bool
 		switch name {
 		case "c":
@@ -127,8 +130,8 @@
 			if err != nil || strings.Trim(value, "0123456789.") != "" || wait || !(ms > 0) || ms > float64(longestWait/time.Millisecond) {
 				return fmt.Errorf("d=%s is no waiting time in milliseconds", value)
 			}
-			o.Left = time.Duration(math.Floor(ms * float64(time.Millisecond)))
-			o.Request.Wait = [2]int{end - len(value), end}
+			o.Request.Deadline = deadline.After(o.At, time.Duration(math.Floor(ms*float64(time.Millisecond))))
+			o.Request.Properties = deadline.Cut(list, end-len(value), end)
 			wait = true
 		}
 		at = end + 1
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -332,12 +332,12 @@
 	switch name {
 	case "CACHE.GET", "CACHE.SET":
 		names := c.front.names.Load()
-		op, err := names.parse(words, name == "CACHE.SET")
+		op, err := names.parse(words, name == "CACHE.SET", at)
 		if err != nil {
 			return c.bad(&c.front.malformed, err)
 		}
 		s := &slot{c: c, op: op, class: names.classes[op.Category]}
-		op.At, op.Reply, op.Request.Parts, op.Over = at, s, parts, over
+		op.Reply, op.Request.Parts, op.Over = s, parts, over
 		if !c.reserve(s) {
 			return false
 		}
--- a/internal/front/long.go
+++ b/internal/front/long.go
@@ -138,7 +138,7 @@
 
 // busy turns a long write away for want of room, once it has come.
 func (c *conn) busy(words [][]byte) bool {
-	op, err := c.front.names.Load().parse(append(words, nil), true)
+	op, err := c.front.names.Load().parse(append(words, nil), true, time.Now())
 	if err != nil || string(bytes.ToUpper(words[0])) != "CACHE.SET" {
 		return c.bad(&c.front.malformed, errors.New("long value in no command that takes one"))
 	}
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -11,8 +11,8 @@
 	"net"
 	"net/http"
 	"net/url"
-	"time"
 
+	"minttray/internal/deadline"
 	"minttray/internal/engine"
 	"minttray/internal/pool"
 	"minttray/policy"
@@ -27,10 +27,12 @@
 // Protocol is HTTP/1.1 as the origin speaks it; Host is the address that stands in the list.
 type Protocol struct{ Host string }
 
-// Append writes GET /KEY, or PUT /KEY with the value. The properties go on as they came.
-func (p Protocol) Append(b []byte, r *engine.Request, _ time.Duration) (all []byte, gap int) {
+// Append writes GET /KEY, or PUT /KEY with the value. The properties go on as they came, but for the deadline, which is the attempt's own:
+// the origin is a server like any other.
+func (p Protocol) Append(b []byte, r *engine.Request, passed deadline.Passed) (all []byte, gap int) {
+	properties := string(r.Properties.Append(nil, passed))
 	req := &http.Request{Method: http.MethodGet, Host: p.Host, URL: &url.URL{Path: "/" + r.Key}, Proto: "HTTP/1.1",
-		ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{"X-Trace-Id": {r.ID}, "X-Props": {r.Props}, "User-Agent": nil}}
+		ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{"X-Trace-Id": {r.ID}, "X-Props": {properties}, "User-Agent": nil}}
 	if len(r.Parts) > 0 { // net/http would have to be handed the value
 		out := bytes.NewBuffer(b)
 		fmt.Fprintf(out, "PUT %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n", req.URL.RequestURI(), p.Host, r.Size())
--- a/internal/pool/endings_test.go
+++ b/internal/pool/endings_test.go
@@ -26,6 +26,7 @@
 type shut struct {
 	addr      string
 	open      func()
+	serve     func(c net.Conn) // what it does with a connection once it is open
 	seen, ups atomic.Int64
 }
 
@@ -49,6 +50,18 @@
 	}
 	t.Cleanup(func() { l.Close() })
 	s := &shut{addr: l.Addr().String()}
+	s.serve = func(c net.Conn) {
+		for r := bufio.NewReader(c); ; {
+			if _, err := r.Peek(1); err != nil {
+				return
+			}
+			s.seen.Add(1)
+			if _, err := command(r); err != nil {
+				return
+			}
+			io.WriteString(c, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
+		}
+	}
 	for full := false; !full; { // until a SYN is left in the air
 		c, err := net.DialTimeout("tcp", s.addr, 200*time.Millisecond)
 		if full = err != nil; !full {
@@ -69,16 +82,7 @@
 				s.ups.Add(1)
 				go func() {
 					defer c.Close()
-					for r := bufio.NewReader(c); ; {
-						if _, err := r.Peek(1); err != nil {
-							return
-						}
-						s.seen.Add(1)
-						if _, err := command(r); err != nil {
-							return
-						}
-						io.WriteString(c, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
-					}
+					s.serve(c)
 				}()
 			}
 		}()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"minttray/internal/deadline"
 	"minttray/internal/engine"
 	"minttray/policy"
 )
@@ -21,9 +22,9 @@
 
 // Protocol is what requests and answers look like.
 type Protocol interface {
-	// Append adds a request as it goes out; left is how long its answer will be waited for. A value in parts is left out:
+	// Append adds a request as it goes out, with the deadline that this attempt passes on. A value in parts is left out:
 	// it belongs at a place that gap gives, 0 where there is none.
-	Append(b []byte, r *engine.Request, left time.Duration) (out []byte, gap int)
+	Append(b []byte, r *engine.Request, passed deadline.Passed) (out []byte, gap int)
 	// Answers reads what comes over one connection.
 	Answers(r io.Reader) Answers
 }
@@ -241,13 +242,10 @@
 	}
 	out.begun = true
 	p.mu.Unlock()
-	var gap int
-	c.out, gap = p.protocol.Append(c.out[:0], out.request, time.Until(out.until))
-	err := c.write(out.request, gap)
-	if cap(c.out) > 16<<10 {
-		c.out = nil
-	}
-	if err != nil {
+	if err := c.send(out); errors.Is(err, deadline.ErrNoTime) {
+		c.unsent(out, err)
+		return
+	} else if err != nil {
 		c.end(out, how, err)
 		return
 	}
@@ -292,6 +290,40 @@
 	}
 }
 
+// alwaysHeld is the size of a request that our system takes at once, as nothing else is on its way there: the least buffer of a socket.
+const alwaysHeld = 4 << 10
+
+// keptBuffer is the largest buffer for requests that an idle connection keeps.
+const keptBuffer = 16 << 10
+
+// send writes a request. The deadline that it passes on is computed here, right ahead of the write, and nowhere else; a write
+// that does not end in the time that was left out of it is broken off.
+func (c *conn) send(out *push) error {
+	r := out.request
+	var passed deadline.Passed
+	if !r.Probe {
+		how := deadline.Held
+		if len(r.Parts) > 0 {
+			how = deadline.Parts
+		}
+		var err error
+		if passed, err = r.Deadline.Pass(time.Now(), out.until, how); err != nil {
+			return err
+		}
+	}
+	var gap int
+	c.out, gap = c.pool.protocol.Append(c.out[:0], r, passed)
+	if slow := r.Size()+len(c.out) > alwaysHeld; slow && !r.Probe {
+		c.nc.SetWriteDeadline(passed.WriteBy())
+		defer c.nc.SetWriteDeadline(time.Time{})
+	}
+	err := c.write(r, gap)
+	if cap(c.out) > keptBuffer {
+		c.out = nil
+	}
+	return err
+}
+
 // write writes a request, with a value in parts put into its gap.
 func (c *conn) write(r *engine.Request, gap int) error {
 	if gap == 0 {
@@ -306,6 +338,16 @@
 	return err
 }
 
+// unsent tells that nothing of a push was written; its connection serves others.
+func (c *conn) unsent(out *push, err error) {
+	c.pool.mu.Lock()
+	if c.push == out && !c.gone {
+		c.rest()
+	}
+	c.pool.mu.Unlock()
+	c.pool.fail(out, PartWritten, err)
+}
+
 // stalled is how long a server may give nothing of a value that it has begun.
 const stalled = 3 * time.Second
 
