A request's time counts from when its last byte came, not from when it is read

Cause: front read the clock after a read had returned. A command that had waited until then in the system's buffer looked as much younger: behind 256 others of its client, behind a value that waits for room (up to 2 s), on a connection that stood in the queue while others were turned away (100 ms each), or while the process was stopped or had no processor. Each attempt for it told its server that much more than its client had left.

Change: front/source.go reads the connection itself and knows the last moment at which nothing was there: the read that found nothing, or that took less than it could have. What is read without a wait is taken to have come right after that; what a reader waited for came as it was woken, unless the process stood still just then, which internal/pulse tells: the engine's loop beats every 20 ms. A connection's start is bounded in the same way by the queue of those not accepted. A client that rests loses nothing.

Also: engine.list went through all members for each cache it knew, 10 million steps for a whole list of 3,200; now a set.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"minttray/internal/operators"
 	"minttray/internal/origin"
 	"minttray/internal/pool"
+	"minttray/internal/pulse"
 	"minttray/internal/settings"
 	"minttray/internal/state"
 	"minttray/policy"
@@ -109,7 +110,8 @@
 	if learned == nil {
 		learned = kept.take()
 	}
-	e := engine.New(engine.Options{Out: word.Out, Back: word.Back, Memory: learned, Sites: shifts.sites(word),
+	beat := pulse.New(time.Now())
+	e := engine.New(engine.Options{Pulse: beat, Out: word.Out, Back: word.Back, Memory: learned, Sites: shifts.sites(word),
 		Settings: s.Policy, Seed: c.Seed, Module: module, Logger: log, MaxOps: most(s), MaxBytes: memory / 8,
 		Connect: func(m engine.Member) engine.Server {
 			if m.Kind == s.Policy.OriginKind {
@@ -127,7 +129,7 @@
 		return fmt.Errorf("known: %w", err)
 	}
 	f := &front.Front{Engine: e, Names: front.NewNames(s, book), Book: book,
-		Piled: memory / 8, Long: memory / 4, Log: log}
+		Piled: memory / 8, Long: memory / 4, Log: log, Pulse: beat}
 	shifts.front, shifts.engine = f, e
 	shifts.share = func(other bool) {
 		part := 1
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -11,6 +11,7 @@
 
 	"minttray/decide/site"
 	"minttray/decide/warm"
+	"minttray/internal/pulse"
 	"minttray/policy"
 )
 
@@ -28,8 +29,9 @@
 	Seed     uint64
 	Connect  func(m Member) Server
 	Logger   zerolog.Logger
-	MaxOps   int   // held at once, at first
-	MaxBytes int64 // of requests held at once
+	MaxOps   int          // held at once, at first
+	MaxBytes int64        // of requests held at once
+	Pulse    *pulse.Pulse // the engine's goroutine feeds it; nil: nobody asks
 
 	// What another process hands over, by the caches' names.
 	Out    []string             // out by an operator's word
@@ -157,8 +159,8 @@
 	defer clock.Stop()
 	var events []event
 	for {
-		if len(e.timers.heap) > 0 {
-			clock.Reset(max(e.wall(e.timers.heap[0].at).Sub(time.Now()), 0))
+		if wait, bounded := e.nextTimer(); bounded {
+			clock.Reset(wait)
 		}
 		select {
 		case <-stop:
@@ -182,6 +184,20 @@
 	}
 }
 
+// nextTimer is how long the engine may wait for events: up to its next timer, and its next beat.
+func (e *Engine) nextTimer() (wait time.Duration, bounded bool) {
+	if e.Pulse != nil {
+		wait, bounded = pulse.Every, true
+	}
+	if len(e.timers.heap) > 0 {
+		due := max(time.Until(e.wall(e.timers.heap[0].at)), 0)
+		if !bounded || due < wait {
+			wait, bounded = due, true
+		}
+	}
+	return wait, bounded
+}
+
 func (e *Engine) fire() {
 	for do := e.timers.due(e.read()); do != nil; do = e.timers.due(e.now) {
 		e.handle(do)
@@ -189,7 +205,9 @@
 }
 
 func (e *Engine) read() policy.Time {
-	e.now = e.offset + policy.Time(time.Since(e.origin)/unit)
+	now := time.Now()
+	e.Pulse.Beat(now)
+	e.now = e.offset + policy.Time(now.Sub(e.origin)/unit)
 	return e.now
 }
 
@@ -413,8 +431,12 @@
 	shut := map[uint32]bool{} // caches to which nothing goes any more, or no longer there
 	var probed []*server      // as they were
 	if kind == policy.ListFull || kind == policy.ListCached {
+		named := make(map[uint32]bool, len(members))
+		for i := range members {
+			named[members[i].ID] = true
+		}
 		for id, s := range e.servers { // who is missing from a whole list is gone
-			if !slices.ContainsFunc(members, func(m Member) bool { return m.ID == id }) {
+			if !named[id] {
 				s.Retire()
 				delete(e.servers, id)
 				e.leave(s)
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -41,6 +41,7 @@
 	place float64 // 0 to 1: when it ends among others that are not used
 
 	// The reader's.
+	source  *source
 	buf     buffer.Buffer
 	size    int       // of buf, as far as the front's sum knows it
 	began   time.Time // when the half command in buf began to come
@@ -131,8 +132,9 @@
 	}
 }
 
-func newConn(f *Front, nc net.Conn) *conn {
-	c := &conn{front: f, nc: nc, wake: make(chan struct{}, 1), stopped: make(chan struct{}), born: time.Now()}
+// newConn makes a connection that was not there at a moment.
+func newConn(f *Front, nc net.Conn, since time.Time) *conn {
+	c := &conn{front: f, nc: nc, source: newSource(nc, since, f.Pulse), wake: make(chan struct{}, 1), stopped: make(chan struct{}), born: time.Now()}
 	c.used = c.born
 	c.room.L = &c.mu
 	return c
@@ -155,7 +157,7 @@
 		if !c.goOn() {
 			return
 		}
-		err := c.buf.Fill(c.nc)
+		err := c.buf.Fill(c.source)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			if !c.late() {
 				return
@@ -173,7 +175,7 @@
 			c.drop()
 			return
 		}
-		at := time.Now()
+		now, received := time.Now(), c.source.came
 		for {
 			n, words, err := next(c.buf.Bytes(), args)
 			var long *resp.Long
@@ -181,6 +183,7 @@
 				if !c.long(long) {
 					return
 				}
+				now, received = time.Now(), c.source.came
 				continue
 			}
 			if err != nil {
@@ -191,7 +194,7 @@
 			if n == 0 {
 				break
 			}
-			if !c.command(words, nil, at, nil) {
+			if !c.command(words, nil, received, nil) {
 				return
 			}
 			c.buf.Take(n)
@@ -200,7 +203,7 @@
 		if len(c.buf.Bytes()) == 0 {
 			c.began = time.Time{}
 		} else if c.began.IsZero() {
-			c.began = at
+			c.began = now
 		}
 	}
 }
@@ -319,9 +322,9 @@
 	return true
 }
 
-// command takes one command, a long value's parts beside it; false means that nothing more is read from the connection. over
+// command takes one command, whose last byte came after the moment received, a long value's parts beside it; false means that nothing more is read from the connection. over
 // is called once nobody needs the parts any more.
-func (c *conn) command(words, parts [][]byte, at time.Time, over func()) bool {
+func (c *conn) command(words, parts [][]byte, received time.Time, over func()) bool {
 	handed := false
 	defer func() {
 		if over != nil && !handed {
@@ -332,7 +335,7 @@
 	switch name {
 	case "CACHE.GET", "CACHE.SET":
 		names := c.front.names.Load()
-		op, err := names.parse(words, name == "CACHE.SET", at)
+		op, err := names.parse(words, name == "CACHE.SET", received)
 		if err != nil {
 			return c.bad(&c.front.malformed, err)
 		}
--- a/internal/front/endings_test.go
+++ b/internal/front/endings_test.go
@@ -193,7 +193,7 @@
 	defer theirs.Close()
 	f := &Front{Engine: &nobody{}, Book: figures.New(), Piled: 1 << 20, conns: map[*conn]struct{}{}, changed: make(chan struct{}, 1)}
 	f.Conns.Store(1)
-	c := newConn(f, ours)
+	c := newConn(f, ours, time.Now())
 	s := &slot{c: c, op: &engine.Op{}}
 	c.slots = []*slot{s}
 	r, w := io.Pipe()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -19,6 +19,7 @@
 	"minttray/decide/lifecycle"
 	"minttray/internal/engine"
 	"minttray/internal/figures"
+	"minttray/internal/pulse"
 )
 
 // Engine is where ops go.
@@ -36,6 +37,7 @@
 	Long   int64 // bytes of long values that all clients together may have under way to caches and origin
 	Piled  int64 // bytes of answers that all clients together may leave unread, and of commands half read
 	Log    zerolog.Logger
+	Pulse  *pulse.Pulse // tells of stalls of this process; nil: none is known
 
 	listener *net.TCPListener
 	mu       sync.Mutex
@@ -43,6 +45,7 @@
 	closing  bool
 	changed  chan struct{} // a connection has ended
 	served   chan struct{} // closed once Serve has ended
+	vacant   time.Time     // no connection waited to be accepted then; Serve's, and Close's once that has ended
 
 	piled, buffered atomic.Int64 // bytes, of unread answers and of the connections' buffers
 
@@ -59,6 +62,7 @@
 
 // Listen opens the address; shared: another process may serve clients there as well, and gives new ones over.
 func (f *Front) Listen(addr string, shared bool) error {
+	listening := time.Now()
 	l, err := listen(addr, shared)
 	if err != nil {
 		return err
@@ -72,6 +76,7 @@
 	f.listener, f.conns, f.changed = l, map[*conn]struct{}{}, make(chan struct{}, 1)
 	f.long, f.room = semaphore.NewWeighted(f.Long), longRoom
 	f.served = make(chan struct{})
+	f.vacant = listening
 	return nil
 }
 
@@ -88,6 +93,7 @@
 func (f *Front) Serve() {
 	defer close(f.served)
 	for {
+		queued := f.queued()
 		nc, err := f.listener.AcceptTCP()
 		if errors.Is(err, net.ErrClosed) {
 			return
@@ -102,7 +108,7 @@
 			continue
 		}
 		f.accepted.Add(1)
-		f.admit(nc)
+		f.admit(nc, f.since(queued))
 	}
 }
 
@@ -113,9 +119,9 @@
 	longRoom = 2 * time.Second
 )
 
-// admit takes a new connection in. Where there is no room, another makes way at once: whoever waited for that in turn
+// admit takes a new connection in, which was not there at a moment. Where there is no room, another makes way at once: whoever waited for that in turn
 // would be served too late, would come again, and find a longer queue.
-func (f *Front) admit(nc net.Conn) {
+func (f *Front) admit(nc net.Conn, since time.Time) {
 	for late := time.Now().Add(patient); ; {
 		f.mu.Lock()
 		most := int(f.Conns.Load())
@@ -125,7 +131,7 @@
 			old = f.dispensable(time.Now().Add(-fresh), room)
 		}
 		if room {
-			c = newConn(f, nc)
+			c = newConn(f, nc, since)
 			_, c.place = math.Modf(float64(f.accepted.Load()) * golden)
 			f.conns[c] = struct{}{}
 		}
@@ -247,11 +253,11 @@
 	<-f.served
 	for _, nc := range rest(f.listener) {
 		f.accepted.Add(1)
-		f.admit(nc)
+		f.admit(nc, f.vacant)
 	}
 	for _, nc := range rest(f.listener) { // those that came meanwhile: admitting may wait
 		f.accepted.Add(1)
-		defer f.admit(nc)
+		defer f.admit(nc, f.vacant)
 	}
 	f.listener.Close()
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -240,7 +240,7 @@
 // Danger: memory taken on the word of a length, for a command that never comes.
 func TestAnnouncedLengthTakesNoMemory(t *testing.T) {
 	f, _ := serve(t, nil)
-	c := newConn(f, nil)
+	c := newConn(f, nil, time.Now())
 	r := strings.NewReader("*2\r\n$9\r\nCACHE.SET\r\n$65536\r\nhalf")
 	for c.buf.Fill(r) == nil {
 	}
--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -35,6 +35,33 @@
 	return l.(*net.TCPListener), nil
 }
 
+// queued tells whether a connection waits to be accepted, and notes when none did.
+func (f *Front) queued() bool {
+	before := time.Now()
+	raw, err := f.listener.SyscallConn()
+	if err != nil {
+		return true
+	}
+	some := true
+	raw.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(p, 0)
+		some = err != nil || n > 0
+	})
+	if !some {
+		f.vacant = before
+	}
+	return some
+}
+
+// since is a moment at which a connection that has just been accepted was not there; queued: it waited already when accepting began.
+func (f *Front) since(queued bool) time.Time {
+	if queued {
+		return f.vacant
+	}
+	return later(f.vacant, f.Pulse.Since(time.Now()))
+}
+
 // rest takes what stands in a listener's queue, without waiting.
 func rest(l *net.TCPListener) (all []*net.TCPConn) {
 	raw, err := l.SyscallConn()
--- a/internal/front/long.go
+++ b/internal/front/long.go
@@ -55,7 +55,7 @@
 		c.front.full.Add(1)
 		return c.busy(words)
 	}
-	return c.command(append(words, nil), parts, time.Now(), func() { c.front.long.Release(int64(l.Size)) })
+	return c.command(append(words, nil), parts, c.source.came, func() { c.front.long.Release(int64(l.Size)) })
 }
 
 // parts reads a value and the line end behind it; what is not held is thrown away.
@@ -74,7 +74,7 @@
 				if !c.wait(late) {
 					return nil, errLong
 				}
-				if n, err = c.nc.Read(rest); errors.Is(err, os.ErrDeadlineExceeded) && c.graced() {
+				if n, err = c.source.Read(rest); errors.Is(err, os.ErrDeadlineExceeded) && c.graced() {
 					err = nil
 				}
 				if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -95,7 +95,7 @@
 		if !c.wait(late) {
 			return nil, errLong
 		}
-		if err := c.buf.Fill(c.nc); errors.Is(err, os.ErrDeadlineExceeded) && c.graced() {
+		if err := c.buf.Fill(c.source); errors.Is(err, os.ErrDeadlineExceeded) && c.graced() {
 			continue
 		} else if errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, errLong
@@ -138,7 +138,7 @@
 
 // busy turns a long write away for want of room, once it has come.
 func (c *conn) busy(words [][]byte) bool {
-	op, err := c.front.names.Load().parse(append(words, nil), true, time.Now())
+	op, err := c.front.names.Load().parse(append(words, nil), true, c.source.came)
 	if err != nil || string(bytes.ToUpper(words[0])) != "CACHE.SET" {
 		return c.bad(&c.front.malformed, errors.New("long value in no command that takes one"))
 	}
--- /dev/null
+++ b/internal/pulse/pulse.go
@@ -0,0 +1,58 @@
+// Package pulse tells whether this process was run when it was due. What a process reads late, as it was stopped or had no processor, has
+// waited for it, and its time has gone on meanwhile: the moment of the read is too late a start for a deadline.
+package pulse
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// Every is the longest time between two beats of a process that is run when it is due.
+	Every = 20 * time.Millisecond
+	// tolerated is a pause between two beats that counts as none: timers are late by some milliseconds on any busy machine.
+	tolerated = 2 * Every
+	// recovery is how long after a stall there may still be something to handle that came within it.
+	recovery = 2 * Every
+)
+
+// Pulse is fed by a goroutine that beats, and asked by all others. A nil one knows of no stall.
+type Pulse struct {
+	mu        sync.Mutex
+	last      time.Time // beat
+	stalled   time.Time // the last beat ahead of the last stall
+	recovered time.Time // the first one after it
+}
+
+// New makes a pulse that has beaten once.
+func New(now time.Time) *Pulse { return &Pulse{last: now} }
+
+// Beat says that the process runs. It must come at least once in Every.
+func (p *Pulse) Beat(now time.Time) {
+	if p == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.last) > tolerated {
+		p.stalled, p.recovered = p.last, now
+	}
+	p.last = now
+}
+
+// Since is the earliest moment at which something may have come that waited for this process until now: now itself, unless the process
+// stands in a stall, or has just left one.
+func (p *Pulse) Since(now time.Time) time.Time {
+	if p == nil {
+		return now
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case now.Sub(p.last) > tolerated:
+		return p.last
+	case !p.recovered.IsZero() && now.Sub(p.recovered) < recovery:
+		return p.stalled
+	}
+	return now
+}
