Ledger judges each passed deadline; a value in parts never comes with an old one

And a value in parts lay in our system's buffer for a server that read nothing, with a deadline that had become too long by the time it was read.

Change: a record for each push at caches and origin with the deadline it passed; more than is left by over 0.2 s (the operators' 0.15 and some for the machine), or none, breaks the rule "deadline". A planted proxy, client-deadline, passes its client's own with a retry and has to be found. deadlines-short puts late misses, lost answers, resets, slow ways and stalls ahead of retries. The pool breaks off a value in parts whose last byte has not come to the server by the time its deadline would be longer than what is left.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -211,6 +211,8 @@
 		words("CACHE.GET", "k", "id", "c=read,d=NaN"):             "-ERR d=NaN is no waiting time in milliseconds",
 		words("CACHE.GET", "k", "id", "c=read,d=1e300"):           "-ERR d=1e300 is no waiting time in milliseconds",
 		words("CACHE.GET", "k", "id", "c=read,d=5,d=5"):           "-ERR d=5 is no waiting time in milliseconds",
+		words("CACHE.GET", "k", "id", "c=read,d="):                "-ERR d= is no waiting time in milliseconds",
+		words("CACHE.GET", "k", "id", "c=read,d=3600001"):         "-ERR d=3600001 is no waiting time in milliseconds",
 		words("CACHE.GET", "k", "id", "c=read,d=0x1p4"):           "-ERR d=0x1p4 is no waiting time in milliseconds",
 		words("CACHE.GET", "k", "twice", "c=read,d=5"):            "-ERR an op with this id was taken before",
 	} {
--- a/internal/pool/deadline_test.go
+++ b/internal/pool/deadline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"minttray/internal/caches"
+	"minttray/internal/deadline"
 	"minttray/internal/engine"
 	"minttray/internal/figures"
 	"minttray/internal/front"
@@ -393,3 +395,99 @@
 		}
 	}
 }
+
+// Danger: a server reads nothing for a while. A value in parts that it takes up again is whole there with the deadline of before, which is longer
+// than what is left by then. It is broken off as that begins, while the client still waits: nothing else ends the attempt here.
+func TestAValueIsNotWholeWithADeadlineThatHasBecomeTooLong(t *testing.T) {
+	const clientWait = 2 * time.Second
+	for name, c := range map[string]struct {
+		size    int
+		outcome policy.Outcome
+	}{
+		"our system has all of it":  {512 << 10, policy.Broken}, // it may have run, for all that is known
+		"our system has part of it": {32 << 20, policy.Moot},
+	} {
+		for server, protocol := range map[string]pool.Protocol{"cache": caches.Protocol{}, "origin": origin.Protocol{Host: "origin"}} {
+			t.Run(server+", "+name, func(t *testing.T) {
+				t.Parallel()
+				read, got := make(chan bool), make(chan int64)
+				addr := deaf(t, func(c net.Conn) {
+					<-read
+					n, _ := io.Copy(io.Discard, c)
+					got <- n
+				})
+				r := request("a")
+				r.Write, r.Parts = true, [][]byte{make([]byte, c.size)}
+				begun := time.Now()
+				r.Deadline = deadline.After(begun, clientWait)
+				results, _ := push(pool.New(shared(), addr, protocol), r)
+				if res := wait(t, results); res.Outcome != c.outcome {
+					t.Errorf("%+v", res)
+				}
+				if took := time.Since(begun); took < clientWait/8 {
+					t.Errorf("broken off after %v", took)
+				}
+				close(read)
+				if n := wait(t, got); n >= int64(c.size) {
+					t.Errorf("%d bytes came all the same", n)
+				}
+			})
+		}
+	}
+}
+
+// A server that is slow to read, but in time, gets its value; so does one that is slow to answer.
+func TestAValueThatIsWholeInTimeIsNotBrokenOff(t *testing.T) {
+	const clientWait = 4 * time.Second
+	read, answer := make(chan bool), make(chan bool)
+	addr := deaf(t, func(c net.Conn) {
+		<-read
+		if _, err := cacheWire.read(bufio.NewReader(c)); err != nil {
+			return
+		}
+		<-answer
+		io.WriteString(c, cacheWire.served)
+	})
+	r := request("a")
+	r.Write, r.Parts = true, [][]byte{make([]byte, 512<<10)}
+	begun := time.Now()
+	r.Deadline = deadline.After(begun, clientWait)
+	results, _ := push(pool.New(shared(), addr, caches.Protocol{}), r)
+	time.Sleep(clientWait / 16)
+	close(read)
+	time.Sleep(clientWait/2 - time.Since(begun)) // past the end of the margin
+	close(answer)
+	if res := wait(t, results); res.Outcome != policy.Acked {
+		t.Errorf("%+v", res)
+	}
+}
+
+// An attempt with under a millisecond left is none: nothing is written for it, and its connection serves the next.
+func TestNoTimeLeftIsNoAttempt(t *testing.T) {
+	seen := make(chan string, 9)
+	addr := listen(t, func(n int, c net.Conn) {
+		for r := bufio.NewReader(c); ; {
+			words, err := command(r)
+			if err != nil {
+				return
+			}
+			seen <- words[2]
+			io.WriteString(c, cacheWire.served)
+		}
+	})
+	s := shared()
+	p := pool.New(s, addr, caches.Protocol{})
+	for name, left := range map[string]time.Duration{"half a millisecond": 500 * time.Microsecond, "none": 0, "long past": -time.Minute} {
+		r := request(name)
+		r.Deadline = deadline.After(time.Now(), left)
+		results, _ := push(p, r)
+		if res := wait(t, results); res.Outcome != policy.Moot || !errors.Is(res.Err, deadline.ErrNoTime) {
+			t.Errorf("%s: %+v", name, res)
+		}
+		settled()
+	}
+	results, _ := push(p, request("enough"))
+	if res := wait(t, results); res.Outcome != policy.Acked || wait(t, seen) != "enough" || s.Opened.Load() != 1 {
+		t.Errorf("%+v, %d connections", res, s.Opened.Load())
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -242,7 +243,8 @@
 	}
 	out.begun = true
 	p.mu.Unlock()
-	if err := c.send(out); errors.Is(err, deadline.ErrNoTime) {
+	passed, err := c.send(out)
+	if errors.Is(err, deadline.ErrNoTime) {
 		c.unsent(out, err)
 		return
 	} else if err != nil {
@@ -256,7 +258,7 @@
 	if p.shared.Written != nil && !out.request.Probe {
 		p.shared.Written()
 	}
-	if err := c.answers.Wait(); err != nil {
+	if err := c.wait(out, passed); err != nil {
 		c.end(out, how, err)
 		return
 	}
@@ -298,17 +300,15 @@
 
 // send writes a request. The deadline that it passes on is computed here, right ahead of the write, and nowhere else; a write
 // that does not end in the time that was left out of it is broken off.
-func (c *conn) send(out *push) error {
+func (c *conn) send(out *push) (passed deadline.Passed, err error) {
 	r := out.request
-	var passed deadline.Passed
 	if !r.Probe {
 		how := deadline.Held
 		if len(r.Parts) > 0 {
 			how = deadline.Parts
 		}
-		var err error
 		if passed, err = r.Deadline.Pass(time.Now(), out.until, how); err != nil {
-			return err
+			return passed, err
 		}
 	}
 	var gap int
@@ -317,11 +317,36 @@
 		c.nc.SetWriteDeadline(passed.WriteBy())
 		defer c.nc.SetWriteDeadline(time.Time{})
 	}
-	err := c.write(r, gap)
+	err = c.write(r, gap)
 	if cap(c.out) > keptBuffer {
 		c.out = nil
 	}
-	return err
+	return passed, err
+}
+
+var errUndelivered = errors.New("its last byte did not come to the server in time")
+
+// wait waits for the first byte of the answer. Danger: of a value in parts much may lie in our system's buffer, for a server that hangs, and
+// would come there with a deadline that is longer than what is left by then: so it is thrown away as that begins.
+func (c *conn) wait(out *push, passed deadline.Passed) error {
+	if len(out.request.Parts) == 0 {
+		return c.answers.Wait()
+	}
+	c.nc.SetReadDeadline(passed.WriteBy())
+	err := c.answers.Wait()
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.nc.SetReadDeadline(time.Time{})
+		return err
+	}
+	c.pool.mu.Lock()
+	if c.holds() {
+		c.abort()
+		c.pool.mu.Unlock()
+		return errUndelivered
+	}
+	c.pool.mu.Unlock()
+	c.nc.SetReadDeadline(time.Time{})
+	return c.answers.Wait()
 }
 
 // write writes a request, with a value in parts put into its gap.
--- a/lab/baseline/deaf.go
+++ b/lab/baseline/planted.go
@@ -13,15 +13,32 @@
 	"github.com/tidwall/redcon"
 )
 
-// Deaf is the name of a proxy that is no rule, but a planted fault of its own that no rule can bring about: it sends each op on after
-// a while, without a look whether its client is there still. The ledger has to find it.
-const Deaf = "deaf"
+// Names of proxies that are no rules, but planted faults which no rule can bring about, as the engine refuses. The ledger has to find them.
+const (
+	Deaf           = "deaf"            // sends each request on after a while, without a look whether its client is there still
+	ClientDeadline = "client-deadline" // sends each request on twice, the second time a while later, with the client's own deadline
+)
+
+// planted is what such a proxy does with a request.
+type planted struct {
+	twice bool          // it makes an attempt at once, whose answer it throws away
+	hold  time.Duration // ahead of the attempt that it answers by
+}
 
-// deafFor is how long it holds an op.
-const deafFor = 1200 * time.Millisecond
+var allPlanted = map[string]planted{
+	Deaf:           {hold: 1200 * time.Millisecond},
+	ClientDeadline: {twice: true, hold: 400 * time.Millisecond},
+}
 
-// ServeDeaf runs it by a proxy's configuration file; it comes back with an error only.
-func ServeDeaf(path string) error {
+// IsPlanted tells whether a name is that of a planted fault.
+func IsPlanted(name string) bool {
+	_, known := allPlanted[name]
+	return known
+}
+
+// ServePlanted runs a planted fault by a proxy's configuration file; it comes back with an error only.
+func ServePlanted(name, path string) error {
+	fault := allPlanted[name]
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return err
@@ -59,7 +76,10 @@
 			conn.WriteString("PONG")
 			return
 		}
-		time.Sleep(deafFor)
+		if fault.twice {
+			ask(caches[turn.Add(1)%uint64(len(caches))], cmd.Raw)
+		}
+		time.Sleep(fault.hold)
 		answer, err := ask(caches[turn.Add(1)%uint64(len(caches))], cmd.Raw)
 		if err != nil {
 			conn.WriteError("ERR " + err.Error())
--- a/lab/ledger/judge.go
+++ b/lab/ledger/judge.go
@@ -42,6 +42,7 @@
 	PushedIn = "cold-push" // a cold cache pushed over
 	HeldBack = "held-back" // a final answer that was kept back with nothing out
 	SentOn   = "sent-on"   // pushed though its client had left
+	Deadline = "deadline"  // a push passed its server a longer deadline than its client had left, or none
 )
 
 // Finding is one broken rule, with the history that shows it.
@@ -68,6 +69,7 @@
 	HeldMost  time.Duration  `json:"held_most"`
 	Stalled   int            `json:"stalled"`   // ops without their answer in time as their proxy stood still; what it did to them is judged all the same
 	Unmatched int            `json:"unmatched"` // pushes for ops that nobody sent
+	Deadlines int            `json:"deadlines"` // pushes whose passed deadline was judged
 }
 
 // Kept tells whether no rule was broken.
@@ -77,6 +79,10 @@
 	keep         = 3 * time.Second // an op is kept so long past its TTL, to see what still comes for it
 	mostFindings = 20
 	leftWithin   = 300 * time.Millisecond // from a client's leaving until nothing is sent on for it
+
+	// What a passed deadline may have over what is left to the client: the operators' 150 ms, and some for the machine between the
+	// client, the proxy and the server. It is no setting: with the wide slack of short experiments nothing would be judged.
+	deadlineTolerance = 150*time.Millisecond + 50*time.Millisecond
 )
 
 type entry struct {
@@ -326,6 +332,7 @@
 	}
 	j.copies(e, c, pushes, answers)
 	j.drains(e, sent.A, pushes)
+	j.deadlines(e, sent.At+wait)
 	for _, p := range pushes {
 		if closed >= 0 && p.At > closed+leftWithin+j.terms.Slack && !j.stood(sent.A, closed, p.At) && !overlap(j.blind, closed, p.At) {
 			j.find(SentOn, e, "pushed %v after its client had left", p.At-closed)
@@ -387,6 +394,22 @@
 	}
 }
 
+// deadlines looks for pushes that passed their server more than was left of the time up to end, when their client stops waiting.
+func (j *Judge) deadlines(e *entry, end time.Duration) {
+	for _, r := range e.events {
+		if r.Kind != Passed {
+			continue
+		}
+		j.v.Deadlines++
+		passed, left := time.Duration(r.C)*time.Microsecond, end-r.At
+		if passed <= 0 {
+			j.find(Deadline, e, "pushed to server %d with no deadline", r.A)
+		} else if passed > left+deadlineTolerance {
+			j.find(Deadline, e, "passed server %d a deadline of %v, %v were left", r.A, passed, left)
+		}
+	}
+}
+
 // drains looks for pushes to what the proxy knew to drain, or to be gone.
 func (j *Judge) drains(e *entry, proxy uint32, pushes []push) {
 	for _, p := range pushes {
@@ -477,6 +500,8 @@
 		return fmt.Sprintf("%v push at server %d, connection %d", at, r.A, r.B)
 	case Over:
 		return fmt.Sprintf("%v push over at server %d, connection %d: %s", at, r.A, r.B, name(endNames, r.C))
+	case Passed:
+		return fmt.Sprintf("%v a deadline of %v passed to server %d, connection %d", at, time.Duration(r.C)*time.Microsecond, r.A, r.B)
 	case Told:
 		return fmt.Sprintf("%v proxy life %d told that server %d is %s", at, r.A, r.B, name(stateNames, r.C))
 	}
--- a/lab/ledger/ledger.go
+++ b/lab/ledger/ledger.go
@@ -32,6 +32,7 @@
 	Hand                 // an operator was told yes: A proxy life, B server, C 1 for out, 0 for back
 	Stalled              // a proxy's process was stopped, or goes on: A proxy life, C 1 or 0
 	Blind                // ways between processes break, or are whole again: C 1 or 0; pushes on them may be seen by nobody
+	Passed               // the deadline that a push passed to its server: A server, B connection, C in µs, 0 for none
 )
 
 // Answers are what a client can get.
@@ -125,7 +126,7 @@
 		} else if err != nil {
 			return err
 		}
-		if raw[0] > byte(Blind) {
+		if raw[0] > byte(Passed) {
 			return fmt.Errorf("a record of unknown kind %d", raw[0])
 		}
 		each(Record{Kind(raw[0]), time.Duration(binary.LittleEndian.Uint64(raw[4:])), binary.LittleEndian.Uint64(raw[12:]),
--- a/lab/ledger/ledger_test.go
+++ b/lab/ledger/ledger_test.go
@@ -20,7 +20,7 @@
 	WarmUp: 4000 * ms, MostPushes: 3, Slack: 10 * ms,
 }
 
-var kinds = map[string]Kind{"sent": Sent, "left": Left, "push": Push, "over": Over, "told": Told, "started": Started, "gone": Gone, "hand": Hand, "stalled": Stalled, "blind": Blind}
+var kinds = map[string]Kind{"sent": Sent, "left": Left, "push": Push, "over": Over, "told": Told, "started": Started, "gone": Gone, "hand": Hand, "stalled": Stalled, "blind": Blind, "passed": Passed}
 var hows = map[string]uint32{"acked": Acked, "nacked": Nacked, "dead": Dead, "closed": Closed, "foreign": Foreign, "half": Half,
 	"crossed": Crossed, "answered": Answered, "missed": Missed, "refused": Refused, "failed": Failed, "dropped": Dropped, "silent": Silent,
 	"leaving": Leaving, "out": Out, "active": Active}
@@ -50,7 +50,7 @@
 				r.Op = uint64(n)
 			case strings.HasPrefix(x, "cat"):
 				r.B = n
-			case strings.HasPrefix(x, "work"):
+			case strings.HasPrefix(x, "work"), r.Kind == Passed && strings.HasSuffix(x, "ms"):
 				r.C = n * 1000
 			case strings.HasPrefix(x, "cold"):
 				r.B, r.C = 1000, 1
@@ -80,6 +80,11 @@
 	for _, c := range []struct{ name, text, broken string }{
 		{"served", "0 sent; 5 push s1 c1; 20 over s1 c1 answered; 21 acked", ""},
 		{"a miss, then the origin", "0 sent; 5 push s1 c1; 8 over s1 c1 missed; 9 push s0 c2; 40 over s0 c2 answered; 41 acked", ""},
+		{"passes what is left", "0 sent; 5 push s1 c1; 5 passed s1 c1 390ms; 105 over s1 c1 missed; 106 push s0 c2; 106 passed s0 c2 290ms; 140 over s0 c2 answered; 141 acked", ""},
+		{"passes a little more, within what is tolerated", "0 sent; 300 push s1 c1; 300 passed s1 c1 300ms; 320 over s1 c1 answered; 321 acked", ""},
+		{"passes the client's own deadline with a retry", "0 sent; 5 push s1 c1; 5 passed s1 c1 390ms; 205 over s1 c1 missed; 206 push s0 c2; 206 passed s0 c2 400ms; 240 over s0 c2 answered; 241 acked", Deadline},
+		{"passes more than is left with a first attempt", "0 sent; 300 push s1 c1; 300 passed s1 c1 301ms; 320 over s1 c1 answered; 321 acked", Deadline},
+		{"passes no deadline", "0 sent; 5 push s1 c1; 5 passed s1 c1; 20 over s1 c1 answered; 21 acked", Deadline},
 		{"the client goes away", "0 sent; 5 push s1 c1; 30 left; 31 over s1 c1 dropped", ""},
 		{"sends on for a client that has left", "0 sent; 5 push s1 c1; 30 left closing; 20 over s1 c1 refused; 341 push s2 c2; 350 over s2 c2 answered", SentOn},
 		{"sends on for it before it can know", "0 sent; 5 push s1 c1; 30 left closing; 20 over s1 c1 refused; 339 push s2 c2; 350 over s2 c2 answered", ""},
--- a/lab/run/run_test.go
+++ b/lab/run/run_test.go
@@ -121,6 +121,38 @@
 	}
 }
 
+// Retries behind late misses, lost answers, resets, slow ways and stalls: no attempt passes its server more than its client has left, nor
+// nothing. There are retries to judge, and attempts at the origin.
+func TestDeadlines(t *testing.T) {
+	t.Parallel()
+	x, err := experiment.Read("../../experiments/deadlines-short.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, dir := played(t, x, Options{Command: []string{build(t, "minttray")}, Rule: "minttray"})
+	v := r.Verdict
+	if !v.Kept() || !v.Whole || len(r.Crashes) > 0 || v.Answers["acked"] < 500 {
+		t.Errorf("%s", r.Summary())
+	}
+	in, err := os.Open(filepath.Join(dir, "ledger.bin"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer in.Close()
+	stalls := 0
+	ledger.Read(in, func(r ledger.Record) {
+		if r.Kind == ledger.Stalled && r.C == 1 {
+			stalls++
+		}
+	})
+	if stalls != 2 {
+		t.Errorf("%d proxies were stopped for a while", stalls)
+	}
+	if v.Deadlines != v.Pushes || v.Pushes < v.Ops+200 || r.Fetches < 200 {
+		t.Errorf("%d deadlines of %d attempts for %d tries were judged, %d fetches: too few to show anything", v.Deadlines, v.Pushes, v.Ops, r.Fetches)
+	}
+}
+
 // Operators at work under load, played to verdicts by counts: both processes of an upgrade are one life to the ledger, so that
 // what either loses is lost, a push to a cache after the yes is one to a drained cache, and a proxy that goes on saying yes, or
 // holds idle connections 4 s after clients were sent away, is a failure of the run.
--- a/lab/run/sites_test.go
+++ b/lab/run/sites_test.go
@@ -48,17 +48,19 @@
 
 // Planted faults: a rule that gives a returned site its seats back at once, so that all proxies together push its cold caches
 // over; one that sends an at-most-once op on to another site as the ways to the first are reset; a proxy that sends ops on for clients
-// that have left. All are found, and the module, told the same terms on the same day, does none.
+// that have left; one that passes the client's own deadline with a retry. All are found, and the module, told the same terms on the same day, does none.
 func TestPlantedFaults(t *testing.T) {
 	t.Parallel()
 	daemon := build(t, "minttray")
+	patient := []string{"caches.mode=\"through\"", "clients.leave=0.5", "rules.slack=\"200ms\"", "load.rate=40"}
 	for name, c := range map[string]struct {
 		rule, breaks, file string
 		set                []string
 	}{
 		"seats at once": {"rendezvous", ledger.PushedIn, "site-lost-short", []string{"caches.cold_from=0.05", "caches.warm_up=8s", "rules.fall_multiple=1", "load.rate=900"}},
 		"sent on":       {"reckless", ledger.Copies, "site-cut-short", []string{"caches.mode=\"through\"", "load.rate=600"}},
-		"for nobody":    {baseline.Deaf, ledger.SentOn, "smoke", []string{"caches.mode=\"through\"", "clients.leave=0.5", "rules.slack=\"200ms\"", "load.rate=40"}},
+		"for nobody":    {baseline.Deaf, ledger.SentOn, "smoke", patient},
+		"own deadline":  {baseline.ClientDeadline, ledger.Deadline, "smoke", patient},
 	} {
 		for _, rule := range []string{c.rule, "minttray"} {
 			t.Run(name+", "+rule, func(t *testing.T) {
@@ -73,7 +75,7 @@
 						x.Fault = append(x.Fault, experiment.Fault{Kind: "reset", Zone: "b", At: experiment.Span(time.Duration(n+1) * 500 * time.Millisecond)})
 					}
 				}
-				if name == "for nobody" { // clients that wait for long, and leave early
+				if name == "for nobody" || name == "own deadline" { // clients that wait for long, and leave early
 					x.Fault = nil
 					for i := range x.Category {
 						c := &x.Category[i]
--- a/lab/world/origin.go
+++ b/lab/world/origin.go
@@ -84,7 +84,8 @@
 		return
 	}
 	write := r.Method == http.MethodPut
-	category := o.w.category(words(r.Header.Get("X-Props"))["c"])
+	props := words(r.Header.Get("X-Props"))
+	category := o.w.category(props["c"])
 	o.Fetches.Add(1)
 	sent := o.w.Now()
 	if c, ok := r.Context().Value(connKey{}).(net.Conn); ok {
@@ -92,7 +93,7 @@
 	}
 	number := o.w.conn() // one push is out on a connection at a time: a number for each tells them apart
 	work := o.w.work(o.w.Exp.Origin.Work.D(), op, 0)
-	o.w.Book.Put(ledger.Record{Kind: ledger.Push, At: sent, Op: op, B: number, C: uint32(work / time.Microsecond)})
+	o.w.push(ledger.Record{At: sent, Op: op, B: number, C: uint32(work / time.Microsecond)}, props)
 	over := func(how uint32) {
 		o.w.Book.Put(ledger.Record{Kind: ledger.Over, At: o.w.Now(), Op: op, B: number, C: how})
 	}
--- a/lab/world/serve.go
+++ b/lab/world/serve.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"strconv"
 	"strings"
 	"time"
 
@@ -41,12 +43,13 @@
 	}
 	r := request{key: string(cmd.Args[1]), id: string(cmd.Args[2]), write: name == "CACHE.SET", place: k, answer: answer}
 	r.op = Number(r.id)
-	r.category = c.w.category(words(string(cmd.Args[3]))["c"])
+	props := words(string(cmd.Args[3]))
+	r.category = c.w.category(props["c"])
 	work := c.w.work(r.category.Work.D(), r.op, c.Number)
 	k.mu.Lock()
 	k.open[r.op] = true
 	k.mu.Unlock()
-	c.w.Book.Put(ledger.Record{Kind: ledger.Push, At: c.w.sent(k.nc), Op: r.op, A: c.Number, B: k.number, C: uint32(work / time.Microsecond)})
+	c.w.push(ledger.Record{At: c.w.sent(k.nc), Op: r.op, A: c.Number, B: k.number, C: uint32(work / time.Microsecond)}, props)
 	way := c.w.delay(k.zone, c.Zone)
 	if way > 0 {
 		time.AfterFunc(way, func() { c.begin(r, work) })
@@ -193,3 +196,18 @@
 	}
 	w.Book.Put(ledger.Record{Kind: ledger.Effect, At: w.Now(), Op: r.op, A: server})
 }
+
+// longestDeadline is the longest that a record holds, in milliseconds.
+const longestDeadline = math.MaxUint32 / 1000
+
+// push books a push, and the deadline that it passed.
+func (w *World) push(r ledger.Record, props map[string]string) {
+	r.Kind = ledger.Push
+	w.Book.Put(r)
+	ms, err := strconv.ParseFloat(props["d"], 64)
+	if err != nil || !(ms > 0) {
+		ms = 0
+	}
+	r.Kind, r.C = ledger.Passed, uint32(min(ms, longestDeadline)*1000)
+	w.Book.Put(r)
+}
