Front: a client's bytes are read by syscall.Read, which the race detector knows

Cause: source.go read by x/sys/unix, whose reads are ordered with that package's writes alone; go test -race ./internal/front reported the order between a test and the connection that it writes to (two tests) as none. Change: syscall.Read, as package net uses. Measured: go test -race ./internal/front failed in two tests before, passes now.

--- a/internal/front/source.go
+++ b/internal/front/source.go
@@ -7,8 +7,6 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"minttray/internal/pulse"
 )
 
@@ -71,11 +69,11 @@
 func (s *source) readOnce(fd uintptr) (done bool) {
 	for {
 		before := time.Now()
-		s.n, s.err = unix.Read(int(fd), s.into)
+		s.n, s.err = syscall.Read(int(fd), s.into)
 		switch {
-		case errors.Is(s.err, unix.EINTR):
+		case errors.Is(s.err, syscall.EINTR):
 			continue
-		case errors.Is(s.err, unix.EAGAIN):
+		case errors.Is(s.err, syscall.EAGAIN):
 			s.empty, s.known, s.waited = before, before, true
 			return false
 		case s.err != nil:
