--- /dev/null
+++ b/internal/engine/deadline_test.go
@@ -0,0 +1,58 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"minttray/internal/deadline"
+	"minttray/internal/pulse"
+	"minttray/policy"
+)
+
+// passing is a server that hands each attempt's request to the test.
+type passing struct{ requests chan *Request }
+
+func (p passing) Push(r *Request, _ time.Time, _ func(Result)) func(When) bool {
+	p.requests <- r
+	return func(When) bool { return true }
+}
+func (passing) Release() {}
+func (passing) Retire()  {}
+
+// What an attempt may pass is bounded by the TTL of the request's category as well, by the settings as it came.
+func TestADeadlineIsNoLaterThanTheCategorysTTL(t *testing.T) {
+	const ttl = 2 * time.Second
+	servers := passing{make(chan *Request, 9)}
+	e, s := play(t, func(o *Options) {
+		o.Settings.Categories[0].TTL = policy.Time(ttl / unit)
+		o.Connect = func(Member) Server { return servers }
+	})
+	for id, c := range map[string]struct{ wait, want time.Duration }{"longer": {time.Minute, ttl}, "shorter": {time.Second, time.Second}} {
+		o := s.op(id, 0)
+		o.Request.Deadline = deadline.After(o.At, c.wait)
+		if err := e.Submit(o); err != nil {
+			t.Fatal(err)
+		}
+		r := <-servers.requests
+		if left := r.Deadline.Left(o.At); r.ID != id || left != c.want {
+			t.Errorf("%s has %v, %v wanted", r.ID, left, c.want)
+		}
+	}
+}
+
+// An engine with nothing to do beats: else each of its rests would look like a stall of the process.
+func TestAnEngineThatRestsBeats(t *testing.T) {
+	const rest = 500 * time.Millisecond
+	beat := pulse.New(time.Now())
+	play(t, func(o *Options) { o.Pulse, o.Settings.Tick = beat, policy.Time(time.Hour/unit) })
+	time.Sleep(rest) // and what may have stalled ahead of the first beat is over
+	beats := 0
+	for begun := time.Now(); time.Since(begun) < rest; time.Sleep(time.Millisecond) {
+		if now := time.Now(); beat.Since(now).Equal(now) {
+			beats++
+		}
+	}
+	if beats == 0 {
+		t.Error("it rested, and that was taken for a stall throughout")
+	}
+}
