Read again: one loop answers commands in the daemon's tests; an accessor for tests alone goes

Cause: the new test with a large list had the accept and read loop of daemon_test.go once more; Passed.Milliseconds had no caller but tests. Measured: go test -race ./internal/daemon and go test of deadline, pool, front, caches and origin pass.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -27,6 +27,25 @@
 // cache answers each command with its id, a little later; keys that begin with m are missing, and
 // those with b have the longest value.
 func cache(l net.Listener) {
+	answerCommands(l, func(words []string) string {
+		time.Sleep(5 * time.Millisecond)
+		switch {
+		case words[0] == "INFO":
+			return "$22\r\npending=0,served_ps=30\r\n"
+		case strings.HasPrefix(words[1], "m"):
+			return missAnswer
+		case strings.HasPrefix(words[1], "b"):
+			return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(longest), longest)
+		}
+		return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$7\r\nqueue=0\r\n", len(words[2]), words[2])
+	})
+}
+
+// missAnswer is what a cache says that lacks the key.
+const missAnswer = "*3\r\n$-1\r\n$-1\r\n$-1\r\n"
+
+// answerCommands accepts connections until the listener is closed, and answers each command that comes over them.
+func answerCommands(l net.Listener, answer func(words []string) string) {
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -39,16 +58,7 @@
 				if err != nil {
 					return
 				}
-				time.Sleep(5 * time.Millisecond)
-				if words[0] == "INFO" {
-					io.WriteString(c, "$22\r\npending=0,served_ps=30\r\n")
-				} else if strings.HasPrefix(words[1], "m") {
-					io.WriteString(c, "*3\r\n$-1\r\n$-1\r\n$-1\r\n")
-				} else if strings.HasPrefix(words[1], "b") {
-					fmt.Fprintf(c, "*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(longest), longest)
-				} else {
-					fmt.Fprintf(c, "*3\r\n$%d\r\n%s\r\n$-1\r\n$7\r\nqueue=0\r\n", len(words[2]), words[2])
-				}
+				io.WriteString(c, answer(words))
 			}
 		}()
 	}
--- a/internal/daemon/deadline_test.go
+++ b/internal/daemon/deadline_test.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -46,25 +45,10 @@
 		wait      = 5 * time.Second // as get asks
 	)
 	attempts := make(chan passedDeadline, 8*clients*requests)
-	cacheServer := func(l net.Listener) {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				for r := bufio.NewReader(c); ; {
-					words, err := received(r)
-					if err != nil {
-						return
-					}
-					attempts <- passedDeadline{"cache", words[2], deadlineOf(words[3]), time.Now()}
-					time.Sleep(missAfter)
-					io.WriteString(c, "*3\r\n$-1\r\n$-1\r\n$-1\r\n")
-				}
-			}()
-		}
+	lateMiss := func(words []string) string {
+		attempts <- passedDeadline{"cache", words[2], deadlineOf(words[3]), time.Now()}
+		time.Sleep(missAfter)
+		return missAnswer
 	}
 	origin, agent, addr := listen(t), listen(t), vacant(t)
 	go http.Serve(origin, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -76,7 +60,7 @@
 	var shared []net.Listener
 	for range machines {
 		l := listen(t)
-		go cacheServer(l)
+		go answerCommands(l, lateMiss)
 		shared = append(shared, l)
 	}
 	for i := range listed {
--- a/internal/deadline/deadline.go
+++ b/internal/deadline/deadline.go
@@ -51,7 +51,7 @@
 
 // Passed is the deadline that one attempt passes to its server.
 type Passed struct {
-	milliseconds int64
+	milliseconds int64 // what the server is told to have
 	writeBy      time.Time
 }
 
@@ -70,9 +70,6 @@
 	return Passed{wait.Milliseconds(), d.at.Add(-wait)}, nil
 }
 
-// Milliseconds is what the server is told to have.
-func (p Passed) Milliseconds() int64 { return p.milliseconds }
-
 // WriteBy is when the attempt's last byte must have been written: later, the server would be told more than is left.
 func (p Passed) WriteBy() time.Time { return p.writeBy }
 
--- a/internal/deadline/deadline_test.go
+++ b/internal/deadline/deadline_test.go
@@ -33,8 +33,8 @@
 			received := time.Now()
 			now := received.Add(c.waited)
 			passed, err := After(received, c.wait).Pass(now, now.Add(c.until), c.how)
-			if c.milliseconds == 0 && !errors.Is(err, ErrNoTime) || c.milliseconds > 0 && err != nil || passed.Milliseconds() != c.milliseconds {
-				t.Errorf("%d ms, %v; %d ms wanted", passed.Milliseconds(), err, c.milliseconds)
+			if c.milliseconds == 0 && !errors.Is(err, ErrNoTime) || c.milliseconds > 0 && err != nil || passed.milliseconds != c.milliseconds {
+				t.Errorf("%d ms, %v; %d ms wanted", passed.milliseconds, err, c.milliseconds)
 			}
 		})
 	}
@@ -61,7 +61,7 @@
 			}
 			return
 		}
-		told := time.Duration(passed.Milliseconds()) * time.Millisecond
+		told := time.Duration(passed.milliseconds) * time.Millisecond
 		if told < least || told > most || told <= most-time.Millisecond {
 			t.Fatalf("%v is passed, %v could be", told, most)
 		}
