--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -42,7 +42,6 @@
 	listener *net.TCPListener
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
-	closing  bool
 	changed  chan struct{} // a connection has ended
 	served   chan struct{} // closed once Serve has ended
 	vacant   time.Time     // no connection waited to be accepted then; Serve's, and Close's once that has ended
