Lab: up to 3,200 caches, changes of the list, kills at the earliest moment, series of signals, crowds

Change: caches.count to 3,200; agents tell changes, in batches if list.every says so; SIGKILL the longest deadline (3 s at most) plus 0.7 s after SIGTERM, and what a proxy holds then is lost; clients use open connections up to the kill; faults proxy-signals and crowd; a lost request is found with where it stood as its servers saw it; planted proxies that drop a request they have read, or an answer that has come, are found. The test of the agent wanted a whole list behind a watch; it wants the change there and the whole list behind a call without a version.

--- a/lab/baseline/planted.go
+++ b/lab/baseline/planted.go
@@ -17,17 +17,25 @@
 const (
 	Deaf           = "deaf"            // sends each request on after a while, without a look whether its client is there still
 	ClientDeadline = "client-deadline" // sends each request on twice, the second time a while later, with the client's own deadline
+	DropsRead      = "drops-read"      // closes the connection on some requests that it has read
+	DropsAnswer    = "drops-answer"    // closes it on some whose answer has come and is not written
 )
 
 // planted is what such a proxy does with a request.
 type planted struct {
 	twice bool          // it makes an attempt at once, whose answer it throws away
 	hold  time.Duration // ahead of the attempt that it answers by
+
+	dropsRead, dropsAnswer bool // every few requests
 }
 
+const dropEvery = 7 // requests
+
 var allPlanted = map[string]planted{
 	Deaf:           {hold: 1200 * time.Millisecond},
 	ClientDeadline: {twice: true, hold: 400 * time.Millisecond},
+	DropsRead:      {dropsRead: true},
+	DropsAnswer:    {dropsAnswer: true},
 }
 
 // IsPlanted tells whether a name is that of a planted fault.
@@ -70,12 +78,17 @@
 	if len(caches) == 0 {
 		return fmt.Errorf("no cache is listed")
 	}
-	var turn atomic.Uint64
+	var turn, seen atomic.Uint64
 	return redcon.ListenAndServe(c.Listen, func(conn redcon.Conn, cmd redcon.Command) {
 		if name := strings.ToUpper(string(cmd.Args[0])); name == "PING" {
 			conn.WriteString("PONG")
 			return
 		}
+		drops := seen.Add(1)%dropEvery == 0
+		if drops && fault.dropsRead {
+			conn.Close()
+			return
+		}
 		if fault.twice {
 			ask(caches[turn.Add(1)%uint64(len(caches))], cmd.Raw)
 		}
@@ -85,6 +98,10 @@
 			conn.WriteError("ERR " + err.Error())
 			return
 		}
+		if drops && fault.dropsAnswer {
+			conn.Close()
+			return
+		}
 		conn.WriteRaw(answer)
 	}, nil, nil)
 }
--- a/lab/experiment/check.go
+++ b/lab/experiment/check.go
@@ -108,7 +108,8 @@
 	in("proxies.memory_mb", float64(f.Proxies.MemoryMB), 16, 4096)
 	in("proxies.doubt", f.Proxies.Doubt, 0, 1)
 	in("proxies.sockets", float64(f.Proxies.Sockets), 64, 20000)
-	in("caches.count", float64(f.Caches.Count), 1, 200)
+	in("caches.count", float64(f.Caches.Count), 1, 3200)
+	span("list.every", f.List.Every, 0, time.Minute)
 	one("caches.mode", f.Caches.Mode, "aside", "through")
 	in("caches.cores", float64(f.Caches.Cores), 1, 256)
 	in("caches.queue", float64(f.Caches.Queue), 0, 10000)
@@ -177,6 +178,13 @@
 			must(at+"for", x.For > 0, "waves want a span over which they go on")
 		}
 		must(at+"to", zones[x.To] && (x.To == "" || x.To != x.Zone && strings.HasPrefix(x.Kind, "way-")), "%q is no other zone of a way", x.To)
+		if x.Kind == "proxy-signals" {
+			one(at+"by", x.By, Signals...)
+		}
+		if x.Kind == "crowd" {
+			in(at+"size", x.Size, 1, 5000)
+			must(at+"for", x.For > 0, "a span is wanted")
+		}
 		if strings.HasPrefix(x.Kind, "site-") {
 			must(at+"zone", x.Zone != "", "a site is wanted")
 			must(at+"for", x.For > 0, "a span is wanted")
--- a/lab/experiment/experiment.go
+++ b/lab/experiment/experiment.go
@@ -104,7 +104,8 @@
 
 // List is how the list of caches reaches the proxies.
 type List struct {
-	Late Span `toml:"late"`
+	Late  Span `toml:"late"`
+	Every Span `toml:"every"` // an agent takes news at most so often, all that has come by then together; 0: each by itself
 }
 
 // Category is a kind of op.
@@ -188,7 +189,7 @@
 	Size  float64 `toml:"size"`
 	Batch float64 `toml:"batch"` // of a roll or deploy: share at a time
 	Down  Span    `toml:"down"`
-	By    string  `toml:"by"`   // of waves: term, kill, upgrade, mixed
+	By    string  `toml:"by"`   // of waves: term, kill, upgrade, mixed; of signals: one of Signals
 	Name  string  `toml:"name"` // of a tenant
 	To    string  `toml:"to"`   // of a way: the other zone; empty: all others
 
@@ -205,7 +206,24 @@
 	"origin-slow": "times slower", "origin-stop": "", "list-late": "seconds later", "list-silent": "", "list-empty": "", "list-lies": "",
 	"site-lost": "", "site-cut": "", "site-hand": "", "stall": "", "retune": "times the tenants' quotas",
 	"way-slow": "seconds more", "way-lose": "share of new connections that stay silent", "way-reset": "share of connections", "way-thin": "KB a second on each connection",
-	"proxy-kill": "", "proxy-term": "", "proxy-roll": "", "proxy-upgrade": "", "proxy-waves": "", "hand": "", "lameduck": "", "impatient": "share of the usual patience",
+	"proxy-kill": "", "proxy-signals": "", "crowd": "idle connections to each proxy", "proxy-term": "", "proxy-roll": "", "proxy-upgrade": "", "proxy-waves": "", "hand": "", "lameduck": "", "impatient": "share of the usual patience",
+}
+
+// Signals are the series of signals that a proxy can be sent; each ends its process.
+var Signals = []string{"term-twice", "hup-in-drain", "hups", "kill-after-term"}
+
+const (
+	longestDeadline = 3 * time.Second        // as far as it counts for the end of a process
+	killMargin      = 700 * time.Millisecond // past the longest deadline
+)
+
+// KillAfter is how long after SIGTERM a process is killed at the earliest: the longest deadline of the deployment, and a margin.
+func (f *File) KillAfter() time.Duration {
+	longest := time.Duration(0)
+	for _, c := range f.Category {
+		longest = max(longest, c.TTL.D())
+	}
+	return min(longest, longestDeadline) + killMargin
 }
 
 // ZoneOf is the zone of a proxy, by its number.
--- a/lab/faults/faults.go
+++ b/lab/faults/faults.go
@@ -17,6 +17,8 @@
 	Kill(n int)                                              // SIGKILL
 	Term(n int)                                              // SIGTERM; it comes back by Start
 	Start(n int) error                                       // a new process at the same address
+	Signals(n int, series string)                            // one of experiment.Signals; it comes back by Start
+	Crowd(n, size int, span time.Duration)                   // idle connections of clients
 	Upgrade(n int) error                                     // a new process beside the old one, which then ends
 	Away(n int, away bool) error                             // an operator sends clients away, or has them taken again
 	Idle(n int) int                                          // clients' connections there with nothing out
@@ -199,7 +201,9 @@
 		p.hand(n, f)
 	case "proxy-waves":
 		p.waves(f)
-	case "proxy-kill", "proxy-term", "proxy-roll", "proxy-upgrade":
+	case "crowd":
+		p.crowd(n, f)
+	case "proxy-kill", "proxy-term", "proxy-signals", "proxy-roll", "proxy-upgrade":
 		p.proxies(n, f)
 	default:
 		p.caches(n, f)
@@ -389,11 +393,25 @@
 	p.say(f.Kind + " are over")
 }
 
+// crowd has idle clients hold connections to some proxies.
+func (p *Player) crowd(n uint64, f experiment.Fault) {
+	var all sync.WaitGroup
+	for _, i := range p.some(n, f) {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			p.fleet.Crowd(i, int(f.Size), f.For.D())
+		}()
+	}
+	all.Wait()
+	p.say(f.Kind + " is over")
+}
+
 // proxies ends some and brings them back, one batch after another.
 func (p *Player) proxies(n uint64, f experiment.Fault) {
 	some := p.some(n, f)
 	batch := len(some)
-	if f.Kind != "proxy-kill" && f.Kind != "proxy-term" {
+	if f.Kind == "proxy-roll" || f.Kind == "proxy-upgrade" {
 		batch = max(int(f.Batch*float64(p.fleet.Count())+0.5), 1)
 	}
 	for len(some) > 0 {
@@ -407,6 +425,8 @@
 				switch f.Kind {
 				case "proxy-kill":
 					p.fleet.Kill(i)
+				case "proxy-signals":
+					p.fleet.Signals(i, f.By)
 				case "proxy-upgrade":
 					p.failed(p.fleet.Upgrade(i))
 				default:
--- a/lab/ledger/ledger.go
+++ b/lab/ledger/ledger.go
@@ -26,7 +26,7 @@
 	Over                 // a push is over there: A server, B connection, C an Ends value
 	Told                 // a proxy was told of a server: A proxy life, B server, C a States value
 	Started              // a server started: A server, B its capacity in thousandths of a core, C 1 if it is cold
-	Gone                 // a proxy's process ended: A proxy life, C 1 if the lab ended it
+	Gone                 // a proxy's process ended: A proxy life, C a Deaths value
 	Effect               // a write was carried out: A server
 	Finished             // the run was whole
 	Hand                 // an operator was told yes: A proxy life, B server, C 1 for out, 0 for back
@@ -63,6 +63,13 @@
 	Out
 )
 
+// Deaths are how a proxy's process ended.
+const (
+	Crashed    = iota // by itself
+	Killed            // by SIGKILL, with no warning that counts: what it held is excused
+	Terminated        // after SIGTERM, by itself or by the SIGKILL that follows: nothing that it held is excused
+)
+
 // Record is one line of the ledger.
 type Record struct {
 	Kind    Kind
--- a/lab/ledger/ledger_test.go
+++ b/lab/ledger/ledger_test.go
@@ -56,6 +56,8 @@
 				r.B, r.C = 1000, 1
 			case strings.HasPrefix(x, "meant"):
 				r.C = 1
+			case x == "warned":
+				r.C = Terminated
 			case x == "closing":
 				r.A = 1
 			case hows[x] > 0 || x == "answered" || x == "active":
@@ -110,6 +112,10 @@
 		{"killed in the midst of its answer", "0 sent; 5 push s1 c1; 18 over s1 c1 answered; 20 half; 20 gone p1 meant", ""},
 		{"killed, and no word of the connection's end", "0 sent; 5 push s1 c1; 20 gone p1 meant", ""},
 		{"ends by itself with the op in hand", "0 sent; 5 push s1 c1; 20 gone p1; 20 closed", Lost},
+		{"ends with the op in hand, warned ahead", "0 sent; 5 push s1 c1; 20 gone p1 warned; 20 closed; 20 over s1 c1 dropped", Lost},
+		{"ends with the op unread, warned ahead", "0 sent; 20 gone p1 warned; 20 closed", Lost},
+		{"ends with no word, warned ahead", "0 sent; 20 gone p1 warned", Lost},
+		{"ends between two ops, warned ahead", "0 sent; 20 gone p1 warned; 20 crossed", ""},
 		{"another proxy is killed", "0 sent; 5 push s1 c1; 20 gone p2 meant; 25 closed", Lost},
 		{"closed between two ops, unread", "0 sent; 1 crossed", ""},
 		{"closed after it was read", "0 sent; 5 push s1 c1; 9 crossed; 10 over s1 c1 dropped", Lost},
--- a/lab/ledger/rules.go
+++ b/lab/ledger/rules.go
@@ -92,7 +92,7 @@
 	proxy := h.sent.A
 	end := h.sent.At + wait + j.terms.Slack
 	gone, dead := j.gone[proxy]
-	ended := dead && gone.C == 1 && gone.At < end
+	ended := dead && gone.C == Killed && gone.At < end
 	switch {
 	case len(h.answers) == 0 && h.left >= 0:
 		j.v.Left++
@@ -109,7 +109,7 @@
 		j.v.Answers[name(answerNames, first.A)]++
 		return first
 	case len(h.answers) == 0:
-		j.find(Lost, e, "no final answer within %v", wait)
+		j.find(Lost, e, "no final answer within %v, %s", wait, h.stood(h.sent.At+wait))
 		return first
 	}
 	first = h.answers[0]
@@ -119,7 +119,7 @@
 		first.A = killed
 	case first.A == Crossed && len(h.pushes) == 0: // its client asks once more
 	case first.A == Closed || first.A == Crossed || first.A == Half && len(h.pushes) == 0:
-		j.find(Lost, e, "the connection ended with the answer owed")
+		j.find(Lost, e, "the connection ended with the answer owed, %s", h.stood(first.At))
 	case first.A == Foreign:
 		j.find(Lost, e, "served a value that no server made for it")
 	case first.At > end && (h.left < 0 || h.left > end):
@@ -134,6 +134,23 @@
 	return first
 }
 
+// stood is how far a request had come at a moment, as its servers saw it.
+func (h *trace) stood(at time.Duration) string {
+	stood := "with no attempt made: it was not read, or waited in the proxy"
+	for _, p := range h.pushes {
+		switch {
+		case p.At > at:
+		case p.over >= 0 && p.over <= at && p.how == Answered:
+			return "with its server's answer not written"
+		case p.over < 0 || p.over > at:
+			stood = "with an attempt out"
+		default:
+			stood = "behind an attempt that had ended"
+		}
+	}
+	return stood
+}
+
 // sentOn looks for pushes for a client that had left.
 func (j *Judge) sentOn(e *entry, h trace) {
 	if h.closed < 0 {
--- a/lab/load/front.go
+++ b/lab/load/front.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"errors"
 	"net"
 	"slices"
 	"sync"
@@ -21,8 +22,8 @@
 	mu   sync.Mutex
 	died time.Time // zero: not known to have died
 	away time.Time // since when it sends clients away; zero: it does not
+	term time.Time // since when its process is to end; zero: it is not
 	idle []*conn
-	open int
 	born time.Time // when its process began to serve
 	next bool      // that one is not its first
 }
@@ -53,12 +54,32 @@
 // Up tells that a process of it serves.
 func (p *Proxy) Up() {
 	p.mu.Lock()
-	p.died = time.Time{}
+	p.died, p.term = time.Time{}, time.Time{}
 	p.next = !p.born.IsZero()
 	p.born = time.Now()
 	p.mu.Unlock()
 }
 
+// Ending tells that its process has been sent SIGTERM.
+func (p *Proxy) Ending() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.term.IsZero() {
+		p.term = time.Now()
+	}
+}
+
+// connectable is how long after SIGTERM new connections go on coming; those that are open are used for as long as they stay so.
+const connectable = 300 * time.Millisecond
+
+// closed tells whether clients make no new connections to it; the mutex is held.
+func (p *Proxy) closed() bool { return !p.term.IsZero() && time.Since(p.term) > connectable }
+
+// reachable tells whether one of its idle connections stands; the mutex is held.
+func (p *Proxy) reachable() bool {
+	return slices.ContainsFunc(p.idle, func(c *conn) bool { return !c.ended() })
+}
+
 // Age is how long its process has served; again: it is not the first.
 func (p *Proxy) Age() (age time.Duration, again bool) {
 	p.mu.Lock()
@@ -103,7 +124,7 @@
 	for _, p := range f.Proxies {
 		p.mu.Lock()
 		known := !p.died.IsZero() && time.Since(p.died) > f.exp.Front.Notice.D() ||
-			!p.away.IsZero() && time.Since(p.away) > stillComing
+			!p.away.IsZero() && time.Since(p.away) > stillComing || p.closed() && !p.reachable()
 		p.mu.Unlock()
 		if known {
 			continue
@@ -123,6 +144,8 @@
 
 const mostIdle = 256
 
+var errClosed = errors.New("its process is ending")
+
 // near is a client's end of its ways.
 func near(zone int) ways.End { return ways.End{Site: zone, Name: "clients"} }
 
@@ -145,7 +168,12 @@
 			return c, nil
 		}
 	}
+	closed := p.closed()
 	p.mu.Unlock()
+	if closed {
+		f.Refused.Add(1)
+		return nil, errClosed
+	}
 	life := p.Life.Load()
 	var nc net.Conn
 	var err error
--- a/lab/run/fleet.go
+++ b/lab/run/fleet.go
@@ -25,7 +25,7 @@
 
 const (
 	longestStart = 10 * time.Second
-	longestStop  = 8 * time.Second // after SIGTERM; then it is killed
+	longestStop  = 8 * time.Second // after SIGTERM, for one that another process replaces
 	lastLines    = 8               // of its log, for a proxy that ended by itself
 )
 
@@ -51,11 +51,12 @@
 }
 
 type process struct {
-	cmd   *exec.Cmd
-	life  uint32
-	ended chan struct{}
-	meant bool // the lab ended it
-	log   string
+	cmd    *exec.Cmd
+	life   uint32
+	ended  chan struct{}
+	meant  bool // the lab ended it
+	warned bool // by SIGTERM, and then it had its time
+	log    string
 
 	control  string // where operators call
 	replaced bool   // by an upgrade
@@ -435,7 +436,7 @@
 func (f *fleet) watch(n int, p *process) {
 	err := p.cmd.Wait()
 	f.mu.Lock()
-	meant := p.meant
+	meant, warned := p.meant, p.warned
 	if !meant {
 		f.failed = append(f.failed, fmt.Sprintf("proxy %d ended by itself (%v): %s", n, err, tail(p.log)))
 	}
@@ -445,9 +446,12 @@
 		close(p.ended)
 		return
 	}
-	by := uint32(0)
-	if meant {
-		by = 1
+	by := uint32(ledger.Crashed)
+	switch {
+	case meant && warned:
+		by = ledger.Terminated
+	case meant:
+		by = ledger.Killed
 	}
 	f.proxies[n].Down()
 	f.w.Book.Put(ledger.Record{Kind: ledger.Gone, At: f.w.Now(), A: p.life, C: by})
@@ -481,6 +485,9 @@
 		p.meant = true
 		f.mu.Unlock()
 	}
+	if s == syscall.SIGTERM {
+		f.proxies[n].Ending()
+	}
 	p.cmd.Process.Signal(s)
 	return p
 }
@@ -492,19 +499,92 @@
 	}
 }
 
-// Term asks a proxy to end, and ends it if it does not.
+// Term asks a proxy to end, and kills it as early as its platform may: what it then holds is lost.
 func (f *fleet) Term(n int) {
-	p := f.signal(n, syscall.SIGTERM)
-	if p == nil {
-		return
+	if p := f.signal(n, syscall.SIGTERM); p != nil {
+		f.awaitEnd(n, p)
 	}
+}
+
+// awaitEnd waits for a process that was sent SIGTERM just now, and kills it at the earliest moment at which its platform may.
+func (f *fleet) awaitEnd(n int, p *process) {
+	f.mu.Lock()
+	p.warned = true
+	f.mu.Unlock()
 	select {
 	case <-p.ended:
-	case <-time.After(longestStop):
-		f.mu.Lock()
-		f.failed = append(f.failed, fmt.Sprintf("proxy %d did not end within %v of SIGTERM: %s", n, longestStop, tail(p.log)))
-		f.mu.Unlock()
+	case <-time.After(f.x.KillAfter()):
+		f.Kill(n)
+	}
+}
+
+const betweenSignals = 150 * time.Millisecond // of a series
+
+// Signals sends a proxy a series of signals, which ends it.
+func (f *fleet) Signals(n int, series string) {
+	switch series {
+	case "hups":
+		for range 5 {
+			f.signal(n, syscall.SIGHUP)
+			time.Sleep(betweenSignals / 5)
+		}
+		f.Term(n)
+		return
+	case "kill-after-term":
+		f.signal(n, syscall.SIGTERM)
+		time.Sleep(betweenSignals)
 		f.Kill(n)
+		return
+	}
+	p := f.signal(n, syscall.SIGTERM)
+	if p == nil {
+		return
+	}
+	again := syscall.SIGTERM
+	if series == "hup-in-drain" {
+		again = syscall.SIGHUP
+	}
+	for n := range 2 {
+		time.AfterFunc(time.Duration(n+1)*betweenSignals, func() { p.cmd.Process.Signal(again) })
+	}
+	f.awaitEnd(n, p)
+}
+
+// Crowd holds idle connections to a proxy for a span, and opens others in the place of those that it ends.
+func (f *fleet) Crowd(n, size int, span time.Duration) {
+	const every = 100 * time.Millisecond
+	var mu sync.Mutex
+	open := map[net.Conn]bool{}
+	defer func() {
+		mu.Lock()
+		defer mu.Unlock()
+		for c := range open {
+			c.Close()
+		}
+	}()
+	for until := time.Now().Add(span); time.Now().Before(until); time.Sleep(every) {
+		for range size {
+			mu.Lock()
+			full := len(open) >= size
+			mu.Unlock()
+			if full {
+				break
+			}
+			c, err := net.DialTimeout("tcp", f.proxies[n].Addr, every)
+			if err != nil {
+				break
+			}
+			mu.Lock()
+			open[c] = true
+			mu.Unlock()
+			go func() {
+				c.Read(make([]byte, 1)) // it says nothing, and hears of its end alone
+				c.Close()
+				mu.Lock()
+				delete(open, c)
+				mu.Unlock()
+			}()
+		}
 	}
 }
 
--- a/lab/run/sites_test.go
+++ b/lab/run/sites_test.go
@@ -48,7 +48,8 @@
 
 // Planted faults: a rule that gives a returned site its seats back at once, so that all proxies together push its cold caches
 // over; one that sends an at-most-once op on to another site as the ways to the first are reset; a proxy that sends ops on for clients
-// that have left; one that passes the client's own deadline with a retry. All are found, and the module, told the same terms on the same day, does none.
+// that have left; one that passes the client's own deadline with a retry; those that close a connection on a request that they have read,
+// or whose answer has come. All are found, and the module, told the same terms on the same day, does none.
 func TestPlantedFaults(t *testing.T) {
 	t.Parallel()
 	daemon := build(t, "minttray")
@@ -60,6 +61,8 @@
 		"seats at once": {"rendezvous", ledger.PushedIn, "site-lost-short", []string{"caches.cold_from=0.05", "caches.warm_up=8s", "rules.fall_multiple=1", "load.rate=900"}},
 		"sent on":       {"reckless", ledger.Copies, "site-cut-short", []string{"caches.mode=\"through\"", "load.rate=600"}},
 		"for nobody":    {baseline.Deaf, ledger.SentOn, "smoke", patient},
+		"drops read":    {baseline.DropsRead, ledger.Lost, "smoke", nil},
+		"drops answer":  {baseline.DropsAnswer, ledger.Lost, "smoke", nil},
 		"own deadline":  {baseline.ClientDeadline, ledger.Deadline, "smoke", patient},
 	} {
 		for _, rule := range []string{c.rule, "minttray"} {
--- a/lab/world/registry.go
+++ b/lab/world/registry.go
@@ -6,7 +6,9 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -41,7 +43,10 @@
 	server  *http.Server
 	mu      sync.Mutex
 	version uint64
+	whole   uint64 // watches on older versions get the whole list
 	entries map[uint32]entry
+	since   map[uint32]uint64 // the version that an entry last changed with
+	news    []entry           // come, and not yet taken
 	silent  bool
 	empty   bool
 	hidden  map[int]bool // zones whose caches this list lacks, though they run
@@ -95,8 +100,8 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Agent{Addr: l.Addr().String(), reg: r, zone: zone, door: at, entries: map[uint32]entry{}, changed: make(chan struct{}), version: 1,
-		told: map[uint32]uint32{}}
+	a := &Agent{Addr: l.Addr().String(), reg: r, zone: zone, door: at, entries: map[uint32]entry{}, since: map[uint32]uint64{}, changed: make(chan struct{}),
+		version: 1, whole: 1, told: map[uint32]uint32{}}
 	r.mu.Lock()
 	for _, e := range r.state {
 		if e.Number > 0 {
@@ -125,12 +130,35 @@
 func (a *Agent) learn(e entry) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.entries[e.Number].version >= e.version {
-		return // older news that came late
+	a.news = append(a.news, e)
+	switch every := a.reg.w.Exp.List.Every.D(); {
+	case every == 0:
+		a.publish()
+	case len(a.news) == 1:
+		time.AfterFunc(every, func() {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			a.publish()
+		})
+	}
+}
+
+// publish takes all news into one version; the mutex is held.
+func (a *Agent) publish() {
+	changed := false
+	for _, e := range a.news {
+		if a.entries[e.Number].version >= e.version {
+			continue // older news that came late
+		}
+		a.entries[e.Number] = e
+		a.since[e.Number] = a.version + 1
+		changed = true
+	}
+	a.news = a.news[:0]
+	if changed {
+		a.version++
+		a.wake()
 	}
-	a.version++
-	a.entries[e.Number] = e
-	a.wake()
 }
 
 func (a *Agent) wake() {
@@ -146,6 +174,7 @@
 	if a.empty != empty {
 		a.empty = empty
 		a.version++
+		a.whole = a.version
 	}
 	a.wake()
 }
@@ -159,6 +188,7 @@
 	}
 	a.hidden[zone] = hidden
 	a.version++
+	a.whole = a.version
 	a.wake()
 }
 
@@ -189,8 +219,22 @@
 	return a.list()
 }
 
+// changes are the entries that are newer than a version; the mutex is held.
+func (a *Agent) changes(index uint64) map[string]any {
+	all := []instance{}
+	caches := a.reg.w.Caches()
+	for n, since := range a.since {
+		if e := a.entries[n]; since > index && !a.hidden[e.Zone] {
+			all = append(all, a.instance(e, caches[n-1]))
+		}
+	}
+	slices.SortFunc(all, func(x, y instance) int { return strings.Compare(x.ID, y.ID) })
+	return map[string]any{"generation": a.version, "reset": false, "instances": all}
+}
+
 func (a *Agent) list() map[string]any {
 	all := []instance{}
+	caches := a.reg.w.Caches()
 	for n := uint32(1); !a.empty && n < 1<<16 && len(a.entries) > 0; n++ {
 		e, ok := a.entries[n]
 		if !ok {
@@ -200,15 +244,14 @@
 			continue
 		}
 		if e.State != ledger.Out && !a.hidden[e.Zone] {
-			all = append(all, a.instance(e))
+			all = append(all, a.instance(e, caches[n-1]))
 		}
 	}
 	all = append(all, instance{ID: "origin", Addr: a.reg.w.Origin.addrs[a.door], Zone: a.reg.w.Exp.Zones.Names[0], Kind: "origin", Cycle: "active", Weight: 1})
 	return map[string]any{"generation": a.version, "reset": true, "instances": all}
 }
 
-func (a *Agent) instance(e entry) instance {
-	c := a.reg.w.Caches()[e.Number-1]
+func (a *Agent) instance(e entry, c *Cache) instance {
 	weight := 1.0
 	if c.Small {
 		weight = 0.5
@@ -217,7 +260,7 @@
 		Weight: weight, Started: e.Started}
 }
 
-// serve answers the whole list, or a watch on it. A change is answered with the whole list: what is on it counts as told.
+// serve answers the whole list, or a watch on it with what has changed. All that the agent has by then counts as told.
 func (a *Agent) serve(out http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/catalog/members" {
 		http.NotFound(out, r)
@@ -230,7 +273,12 @@
 		a.mu.Lock()
 		silent, changed, version := a.silent, a.changed, a.version
 		if !silent && (err != nil || version != index) {
-			doc := a.list()
+			var doc map[string]any
+			if err == nil && index >= a.whole && index < version {
+				doc = a.changes(index)
+			} else {
+				doc = a.list()
+			}
 			a.tell()
 			a.mu.Unlock()
 			json.NewEncoder(out).Encode(doc)
--- a/lab/world/world_test.go
+++ b/lab/world/world_test.go
@@ -177,12 +177,17 @@
 	until(t, "the agent has the news", func() bool { return a.List()["generation"].(uint64) > first.Generation })
 	before := w.Now()
 	next := list(fmt.Sprintf("?index=%d&wait=5000", first.Generation))
-	states := ""
-	for _, i := range next.Instances {
-		states += i.Cycle + " "
+	cycles := func(all []instance) (states string) {
+		for _, i := range all {
+			states += i.Cycle + " "
+		}
+		return states
+	}
+	if got := cycles(next.Instances); got != "leaving " { // a watch tells what has changed
+		t.Errorf("%q", got)
 	}
-	if states != "leaving active active " {
-		t.Errorf("%q", states)
+	if got := cycles(list("").Instances); got != "leaving active active " {
+		t.Errorf("%q", got)
 	}
 	a.Set(true, false, 0)
 	if r, err := (&http.Client{Timeout: 200 * time.Millisecond}).Get("http://" + a.Addr + "/catalog/members"); err == nil {
