--- /dev/null
+++ b/internal/front/closing_test.go
@@ -0,0 +1,122 @@
+package front
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"minttray/decide/lifecycle"
+)
+
+// gatedConn is a client's connection that waits behind a read or ahead of a write until it is let go.
+type gatedConn struct {
+	net.Conn
+	read, write gate
+}
+
+// gate holds a goroutine up once.
+type gate struct{ reached, open chan struct{} }
+
+func newGate() gate { return gate{make(chan struct{}), make(chan struct{})} }
+
+func (g gate) pass() {
+	if g.reached == nil {
+		return
+	}
+	select {
+	case <-g.open:
+		return
+	default:
+	}
+	close(g.reached)
+	<-g.open
+}
+
+func (c *gatedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.read.pass()
+	}
+	return n, err
+}
+
+func (c *gatedConn) Write(b []byte) (int, error) {
+	c.write.pass()
+	return c.Conn.Write(b)
+}
+
+// gated admits a connection with the given gates, and gives its client.
+func gated(t *testing.T, f *Front, read, write gate) *client {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	theirs, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ours, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { theirs.Close(); ours.Close() })
+	theirs.SetDeadline(time.Now().Add(patience))
+	f.admit(&gatedConn{ours, read, write}, time.Now())
+	return newClient(t, theirs)
+}
+
+// closers are the ways in which the proxy ends a client's connection by itself.
+var closers = map[string]func(f *Front){
+	"to make way": func(f *Front) {
+		f.mu.Lock()
+		chosen := f.dispensable(time.Now().Add(time.Hour), false)
+		f.mu.Unlock()
+		if chosen != nil {
+			chosen.makeWay()
+		}
+	},
+	"as clients are sent away": func(f *Front) { f.Turn(lifecycle.Asked, false, 0) },
+	"as the process ends":      func(f *Front) { f.Turn(lifecycle.All, true, 0) },
+	"as one that nobody uses":  func(f *Front) { f.Turn(lifecycle.Keep, true, 1) },
+}
+
+// Danger: an answer has left the table of open requests, and is not written yet: the connection looks as if nothing was owed on it.
+func TestAnAnswerBeingWrittenIsNotLost(t *testing.T) {
+	for name, end := range closers {
+		t.Run(name, func(t *testing.T) {
+			f, e := serve(t, nil)
+			write := newGate()
+			c := gated(t, f, gate{}, write)
+			c.send(get("a"))
+			wait(t, e.taken).Reply.Acked([]byte("v"))
+			wait(t, write.reached)
+			end(f)
+			close(write.open)
+			c.want("$1", "v")
+		})
+	}
+}
+
+// Danger: a request has been read, and the connection ends before the reader has noted it: it would never be handed in, nor answered.
+func TestARequestThatHasBeenReadIsAnswered(t *testing.T) {
+	for name, end := range closers {
+		t.Run(name, func(t *testing.T) {
+			f, e := serve(t, nil)
+			read := newGate()
+			c := gated(t, f, read, gate{})
+			c.send(get("a"))
+			wait(t, read.reached)
+			end(f)
+			close(read.open)
+			select {
+			case o := <-e.taken:
+				o.Reply.Acked([]byte("v"))
+				c.want("$1", "v")
+			case <-time.After(time.Second):
+				t.Fatalf("it was not handed in, and its client got %q", c.line())
+			}
+		})
+	}
+}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -79,9 +79,11 @@
 	}
 	t.Cleanup(func() { c.Close() })
 	c.SetDeadline(time.Now().Add(patience))
-	return &client{t, c, bufio.NewReader(c)}
+	return newClient(t, c)
 }
 
+func newClient(t *testing.T, c net.Conn) *client { return &client{t, c, bufio.NewReader(c)} }
+
 func words(w ...string) string {
 	s := fmt.Sprintf("*%d\r\n", len(w))
 	for _, word := range w {
--- a/policy/learned.go
+++ b/policy/learned.go
@@ -30,7 +30,7 @@
 
 // Record is what was sent to a cache, and learned of it; nil: it is not known.
 func (b *Balancer) Record(id uint32) *evidence.Record {
-	if c := b.caches[id]; c != nil {
+	if c := b.caches.Get(id); c != nil {
 		return &c.Record
 	}
 	return nil
@@ -48,7 +48,7 @@
 func (b *Balancer) Learned() warm.Memory {
 	m := warm.Memory{Caches: map[uint32]warm.Server{}, Origin: remember(b.origin), Shadow: remember(b.shadow),
 		Usual: b.all.span.Seen(), Kept: b.kept.Recent(warm.MostKeys)}
-	for id, c := range b.caches {
+	for id, c := range b.caches.All() {
 		if c.listed && c != b.origin {
 			m.Caches[id] = remember(c)
 		}
@@ -87,7 +87,7 @@
 	}
 	for id, s := range m.Caches {
 		// Danger: a new process is cold, and may be well where the old one failed.
-		if c := b.caches[id]; c != nil && c != b.origin && c.listed && int64(c.Start) == s.Start && s.Of.Limit > 0 {
+		if c := b.caches.Get(id); c != nil && c != b.origin && c.listed && int64(c.Start) == s.Start && s.Of.Limit > 0 {
 			take(c, s)
 		}
 	}
--- a/policy/learned_test.go
+++ b/policy/learned_test.go
@@ -56,8 +56,8 @@
 			entries[1].Start = w.now // the one that failed
 		}
 		fresh, b := begun(w, entries, nil), begun(w, entries, &m)
-		for id, c := range b.caches {
-			f := fresh.caches[id]
+		for id, c := range b.caches.All() {
+			f := fresh.caches.Get(id)
 			cold := c != b.origin && b.share(c, w.now) < 1
 			if cold && (c.Limit > f.Limit || c.Sent.Sum() < f.Sent.Sum()) || c.Done.Sum() > 0 {
 				r.Errorf("cache %d: %+v, from nothing %+v", id, c.Record, f.Record)
@@ -87,10 +87,10 @@
 		old, fresh := w.b, begun(w, entries, nil)
 		m.Fade(rapid.Int64Range(0, 1).Draw(r, "one")*1e7, 100000, 40000)
 		b := begun(w, entries, &m)
-		for id, c := range b.caches {
-			want := old.caches[id]
+		for id, c := range b.caches.All() {
+			want := old.caches.Get(id)
 			if m.Keep < 0.5 {
-				want = fresh.caches[id]
+				want = fresh.caches.Get(id)
 			}
 			if limit := want.Limit; b.share(c, w.now) >= 1 && math.Abs(c.Limit-limit) > 1e-9*limit {
 				r.Errorf("limit of %d is %v, not %v", id, c.Limit, limit)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,6 +20,7 @@
 	"minttray/decide/circle"
 	"minttray/decide/evidence"
 	"minttray/decide/fleet"
+	"minttray/decide/members"
 	"minttray/decide/pace"
 	"minttray/decide/shortage"
 	"minttray/decide/site"
@@ -94,8 +95,9 @@
 	Counts         Counts
 	host           Host
 	rnd            chance.PCG
-	caches         map[uint32]*cache
-	ranks, seats   []*cache // listed, by start time, then id; by bucket, nil: free
+	visits         members.Visits // of entries of the next three
+	caches         members.Map[uint32, *cache]
+	ranks, seats   members.List[*cache] // listed, by start time, then id; by bucket, nil: free
 	circle         circle.Circle
 	origin, shadow *cache // shadow: the origin, as pushes that may fetch show it
 	news           []byte // of kept keys, for the peers
@@ -126,8 +128,10 @@
 
 // New starts a proxy; a list of kind ListCached is expected next.
 func New(s Settings, seed uint64, h Host) *Balancer {
-	b := &Balancer{host: h, rnd: chance.PCG{State: seed}, caches: map[uint32]*cache{}, ops: map[uint32]*op{},
+	b := &Balancer{host: h, rnd: chance.PCG{State: seed}, ops: map[uint32]*op{},
 		zones: map[int]*zone{}, learned: nothing(), rolled: h.Now(), last: h.Now(), row: 1}
+	b.caches = members.NewMap[uint32, *cache](&b.visits)
+	b.ranks, b.seats = members.NewList[*cache](&b.visits), members.NewList[*cache](&b.visits)
 	b.sites.Own = s.Zone
 	if b.Retune(s); !s.Aside {
 		b.shadow = &cache{shared: true}
@@ -173,12 +177,12 @@
 		return
 	}
 	b.asking.Held()
-	for _, c := range b.caches {
+	for _, c := range b.caches.All() {
 		c.listed = c.listed && kind == ListDelta
 	}
 	for _, e := range entries {
-		c := cmp.Or(b.caches[e.ID], &cache{Record: evidence.Record{Limit: b.first}, heard: math.MinInt64 / 2})
-		b.caches[e.ID] = c
+		c := cmp.Or(b.caches.Get(e.ID), &cache{Record: evidence.Record{Limit: b.first}, heard: math.MinInt64 / 2})
+		b.caches.Put(e.ID, c)
 		if e.Start > c.Start {
 			c.restUntil, c.rest, c.Bad, c.doubt = 0, 0, 0, fleet.Doubt[Time]{} // a new process: not its failures
 		}
@@ -191,22 +195,23 @@
 			b.host.Close(e.ID)
 		}
 	}
-	b.ranks, b.origin = b.ranks[:0], nil
-	for _, c := range b.caches {
+	b.ranks.Reset(0)
+	b.origin = nil
+	for _, c := range b.caches.All() {
 		if c.listed && c.Kind != b.OriginKind {
-			b.ranks = append(b.ranks, c)
+			b.ranks.Append(c)
 		} else if c.listed && (b.origin == nil || c.ID < b.origin.ID) { // the lowest id, whatever the map's order
 			b.origin, c.shared = c, true
 		}
 	}
-	slices.SortFunc(b.ranks, func(x, y *cache) int {
-		return cmp.Or(cmp.Compare(x.Start, y.Start), cmp.Compare(x.ID, y.ID))
+	b.ranks.Sort(func(all []*cache) {
+		slices.SortFunc(all, func(x, y *cache) int { return cmp.Or(cmp.Compare(x.Start, y.Start), cmp.Compare(x.ID, y.ID)) })
 	})
 	if b.shadow != nil && b.shadow.cutAt == 0 {
-		b.shadow.Limit = b.first * float64(len(b.ranks)) / 2
+		b.shadow.Limit = b.first * float64(b.ranks.Len()) / 2
 	}
 	if b.origin != nil && b.origin.cutAt == 0 {
-		b.origin.Limit = float64(max(len(b.ranks), firstLimit)) / float64(b.Proxies)
+		b.origin.Limit = float64(max(b.ranks.Len(), firstLimit)) / float64(b.Proxies)
 	}
 	b.seat()
 	b.pump()
@@ -215,13 +220,14 @@
 // seat gives each ranked cache a bucket. Plain ranks shift whenever a cache leaves, and most keys with them;
 // so they only say who is first to choose of many seats: all proxies agree, and a restart gets its seat back.
 func (b *Balancer) seat() {
-	m := max(len(b.seats), slack*spareSeats)
-	for m < 2*len(b.ranks) {
+	m := max(b.seats.Len(), slack*spareSeats)
+	for m < 2*b.ranks.Len() {
 		m *= 2
 	}
 	own, fresh := 0.0, b.heaviest == 0
-	b.circle, b.seats, b.heaviest, b.sizes = circle.New(slack, m), make([]*cache, m), 0, 0
-	for _, c := range b.ranks {
+	b.circle, b.heaviest, b.sizes = circle.New(slack, m), 0, 0
+	b.seats.Reset(m)
+	for _, c := range b.ranks.All() {
 		if c.size = c.Weight * math.Exp2(-b.speeds[c.Kind].Slower); b.RoughWeights {
 			c.size /= math.Sqrt(c.Weight) // they count cores, not what these do: halfway to equal till that is seen
 		}
@@ -229,7 +235,7 @@
 		if c.Zone == b.Zone {
 			own += c.size
 		}
-		b.seats[circle.Seat(uint64(c.ID), m, func(at int) bool { return b.seats[at] == nil })] = c
+		b.seats.Put(circle.Seat(uint64(c.ID), m, func(at int) bool { return b.seats.At(at) == nil }), c)
 	}
 	// Danger: a zone with few caches can't take what its proxies are asked for. Decided once: it moves keys.
 	if fresh {
@@ -307,7 +313,7 @@
 		return true
 	}
 	done, capacity, sizes := 0.0, 0.0, 0.0
-	for _, r := range b.ranks {
+	for _, r := range b.ranks.All() {
 		if r.Out || r.State != Ready { // Danger: with those counted in that get nothing, less is let in than the
 			continue // others answer, of which less is answered, until hardly anything is let in at all.
 		}
@@ -339,10 +345,10 @@
 	var choices, left []*cache
 	salt, size := uint64(0), uint64(b.circle.Size())
 	return func(n int) []*cache {
-		for n = min(n, len(b.ranks)); len(choices) < n; salt++ {
+		for n = min(n, b.ranks.Len()); len(choices) < n; salt++ {
 			away := (len(choices)-spread)%2 == 0 && len(choices) >= spread
 			at := slices.IndexFunc(left, func(c *cache) bool { return !b.near || (c.Zone != b.Zone) == away })
-			if at < 0 && (salt >= 8*size || len(choices)+len(left) == len(b.ranks)) {
+			if at < 0 && (salt >= 8*size || len(choices)+len(left) == b.ranks.Len()) {
 				at = min(len(left), 1) - 1 // no other is to come
 			}
 			if at >= 0 {
@@ -352,7 +358,7 @@
 			} else if salt >= 8*size {
 				break
 			}
-			c := b.seats[b.circle.At(key, salt)]
+			c := b.seats.At(b.circle.At(key, salt))
 			// A small cache is passed over in proportion, by the key's hash, alike at every proxy.
 			if c != nil && !slices.Contains(choices, c) && !slices.Contains(left, c) &&
 				float64(circle.Mix(key, ^salt)>>32) < c.size/b.heaviest*(1<<32) {
@@ -365,11 +371,11 @@
 
 func (b *Balancer) route(o *op) *cache {
 	now, total := b.host.Now(), 0
-	for _, c := range b.ranks {
+	for _, c := range b.ranks.All() {
 		total += c.out
 	}
 	// A key that asks for more than a mean cache's fair share is spread over as many as it would fill.
-	spread := 1 + int(o.heat*float64(len(b.ranks)))
+	spread := 1 + int(o.heat*float64(b.ranks.Len()))
 	more := b.choices(o.key, spread)
 	choices := more(spread)
 	if n := len(choices); n > 1 {
@@ -396,15 +402,21 @@
 		}
 	}
 	var least *cache // of the candidates, or of all if no candidate is ready
-	for i, c := range append(choices, b.ranks...) {
-		if i == len(choices) && least != nil {
-			break
-		}
+	consider := func(c *cache) {
 		if b.allowed(o, c, now) && (least == nil || cmp.Or(cmp.Compare(b.crowded(c, now), b.crowded(least, now)),
 			cmp.Compare(c.out, least.out)) < 0) {
 			least = c
 		}
 	}
+	for _, c := range choices {
+		consider(c)
+	}
+	if least != nil {
+		return least
+	}
+	for _, c := range b.ranks.All() {
+		consider(c)
+	}
 	return least
 }
 
@@ -449,7 +461,7 @@
 
 // Probed takes a cache's word of how many ops wait there and how many it does in a second; told: it gave it.
 func (b *Balancer) Probed(id uint32, told bool, waiting, rate float64) {
-	c := b.caches[id]
+	c := b.caches.Get(id)
 	if c == nil {
 		return
 	}
@@ -700,12 +712,12 @@
 
 // suspect lets a cache be passed over until this proxy's next few pushes there would come.
 func (b *Balancer) suspect(c *cache) {
-	c.doubt.Begin(b.host.Now(), min(Time(doubts*b.gap*float64(len(b.ranks))), 64*b.shortest))
+	c.doubt.Begin(b.host.Now(), min(Time(doubts*b.gap*float64(b.ranks.Len())), 64*b.shortest))
 }
 
 // Reported takes a cache's own word of how long its ops take, which shows what all proxies send it.
 func (b *Balancer) Reported(id uint32, pace Time) {
-	if c := b.caches[id]; c != nil && c != b.origin {
+	if c := b.caches.Get(id); c != nil && c != b.origin {
 		if c.slow = b.paces.Slow(c.Kind, float64(pace)); c.slow {
 			b.suspect(c)
 		}
@@ -817,7 +829,7 @@
 // sick tells whether a cache's share of failures stands out against the fleet's median.
 func (b *Balancer) sick(c *cache) bool {
 	var shares []float64
-	for _, r := range b.ranks {
+	for _, r := range b.ranks.All() {
 		shares = append(shares, r.Bad/max(r.Good+r.Bad, 1))
 	}
 	return c.Bad >= 3 && evidence.Outlier(c.Bad/(c.Good+c.Bad), shares)
@@ -827,7 +839,7 @@
 func (b *Balancer) PeerSaid(news []byte) {
 	for ; len(news) >= 8; news = news[8:] {
 		key := binary.LittleEndian.Uint64(news) // up to 32 bits: a cache's id
-		if c := b.caches[uint32(key)]; c != nil && key <= math.MaxUint32 {
+		if c := b.caches.Get(uint32(key)); c != nil && key <= math.MaxUint32 {
 			c.shun += (1 - c.shun) / 4
 		} else if b.shadow != nil && key > math.MaxUint32 {
 			b.kept.Add(key)
@@ -881,7 +893,7 @@
 
 // TimerDue takes back a token; timers can't be unset, so a stale one does nothing.
 func (b *Balancer) TimerDue(token uint64) {
-	c, o := b.caches[uint32(token-tokenProbe)], b.ops[uint32(token-tokenOp)]
+	c, o := b.caches.Get(uint32(token-tokenProbe)), b.ops[uint32(token-tokenOp)]
 	if token == tokenTick {
 		b.tick()
 	} else if token == tokenWatch {
@@ -905,10 +917,10 @@
 	// Old evidence fades with time as well: a proxy that pushes little would else never hear that it is wrong.
 	fade := float64(4*b.Tick) / float64(4*b.target)
 	// Danger: hundreds of proxies fill the caches' tables with connections that mostly end unused all the same.
-	idle := b.HandshakePrice / b.ConnPrice * 100 / float64(b.Proxies)  // in usual spans between pushes there
-	idle *= min(math.Floor(2*idle), 1) * float64(len(b.ranks)) * b.gap // none, if they end before half of one
-	b.Counts.Listed, b.Counts.Avoided = len(b.ranks), 0
-	for _, c := range b.ranks { // without prices idle is no number, and nothing is closed
+	idle := b.HandshakePrice / b.ConnPrice * 100 / float64(b.Proxies)   // in usual spans between pushes there
+	idle *= min(math.Floor(2*idle), 1) * float64(b.ranks.Len()) * b.gap // none, if they end before half of one
+	b.Counts.Listed, b.Counts.Avoided = b.ranks.Len(), 0
+	for _, c := range b.ranks.All() { // without prices idle is no number, and nothing is closed
 		if c.shun -= c.shun * fade; c.Out || now < c.restUntil {
 			b.Counts.Avoided++
 		}
@@ -920,11 +932,16 @@
 	if now > b.failed+4*b.target {
 		b.strain -= b.strain * fade
 	}
-	for _, c := range append(slices.Clip(b.ranks), b.origin, b.shadow) {
+	giveBack := func(c *cache) {
 		if c != nil && c.Limit < 1 && now > c.cutAt+4*b.target {
 			c.Limit = min(c.Limit*(1+fade), 1)
 		}
 	}
+	for _, c := range b.ranks.All() {
+		giveBack(c)
+	}
+	giveBack(b.origin)
+	giveBack(b.shadow)
 	b.pump()
 }
 
@@ -940,9 +957,9 @@
 	if b.turn++; b.shadow != nil && b.turn%(2*quarters) == 0 {
 		b.kept.Turn()
 	}
-	for id, c := range b.caches {
+	for id, c := range b.caches.All() {
 		if !c.listed && !c.asking && c.out == 0 && c.Sent.Sum() == 0 {
-			delete(b.caches, id) // ids are ever new: kept for good, they would fill the memory
+			b.caches.Delete(id) // ids are ever new: kept for good, they would fill the memory
 		}
 		c.Roll(0.8)
 		c.span.Fade(0.5)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -330,7 +330,7 @@
 		w.b.ListArrived(ListDelta, []Entry{{ID: id, State: Gone}})
 	}
 	w.run(w.now + 10*w.s.TipAfter)
-	if len(w.b.caches) > 1 || len(w.b.ops) > 0 {
-		t.Errorf("%d caches and %d ops kept", len(w.b.caches), len(w.b.ops))
+	if w.b.caches.Len() > 1 || len(w.b.ops) > 0 {
+		t.Errorf("%d caches and %d ops kept", w.b.caches.Len(), len(w.b.ops))
 	}
 }
--- a/policy/property_test.go
+++ b/policy/property_test.go
@@ -25,7 +25,7 @@
 		}
 		w.run(w.now + 5000)
 		strain, limits := w.b.strain, map[uint32]float64{}
-		for id, c := range w.b.caches {
+		for id, c := range w.b.caches.All() {
 			limits[id] = c.Limit
 		}
 		w.auto = map[string]answer{"*": {outcome: "timeout"}}
@@ -39,7 +39,7 @@
 		if w.b.strain > strain {
 			r.Errorf("strain rose from %v to %v", strain, w.b.strain)
 		}
-		for id, c := range w.b.caches {
+		for id, c := range w.b.caches.All() {
 			if c.Limit < limits[id] {
 				r.Errorf("the limit of %d fell from %v to %v", id, limits[id], c.Limit)
 			}
