Routing: cost of a request no longer grows with the number of servers

Cause: route walked all servers where no candidate was allowed, and for each one in slow start summed over all of them again; a hot key's candidates grew with heat times servers, each looked up in a list; a failed attempt sorted all servers' failure shares; an answer could deal all seats anew; with the own zone gone each request walked all buckets. Change: decide/slowstart keeps the sums, made anew with each quarter of the slow-start window and followed by each answer (a slow start that ends in between counts for too much, so the budget errs low); evidence.Median by counts; the candidates of a key come from a walk that marks what it has seen; a key that would fill over 32 caches is served from a row of that many seats, 32 looked at; beyond the candidates 256 caches are looked at, and the look ends at the first idle one; seats are dealt at the next tick; of many caches each tick looks after some. Routing, slow start, health and ticks have files of their own. Figures: looks an event at 3,200 servers, before and after: slow start 9,356,826, under 1,200; all ten states at 200, 800 and 3,200 under 1,200 now.

--- a/decide/evidence/shares.go
+++ b/decide/evidence/shares.go
@@ -1,7 +1,5 @@
 package evidence
 
-import "slices"
-
 // Shares counts, for each of a few kinds of work, what was answered and what was not. A server that fails one kind only
 // serves the others well, so that its sum tells nothing of it. The zero value is empty.
 type Shares[K comparable] struct{ of map[K][2]float64 }
@@ -25,12 +23,10 @@
 // StandOut tells whether a kind fails here far more than in all, and not by chance. It ends by itself as what was
 // counted fades, so that the kind is tried again.
 func (s *Shares[K]) StandOut(all *Shares[K], kind K) bool {
-	x, sum := s.of[kind], all.of[kind]
-	return x[1] >= 3 && x[1]/(x[0]+x[1]) > 1.5*sum[1]/(sum[0]+sum[1])+0.2
-}
-
-// Outlier tells whether a share of failures, 0 to 1, stands out against the median of all.
-func Outlier(share float64, all []float64) bool {
-	slices.Sort(all)
-	return len(all) > 0 && share > 2*all[len(all)/2]+0.25
+	x := s.of[kind]
+	if x[1] < 3 {
+		return false
+	}
+	sum := all.of[kind]
+	return x[1]/(x[0]+x[1]) > 1.5*sum[1]/(sum[0]+sum[1])+0.2
 }
--- a/policy/cost_test.go
+++ b/policy/cost_test.go
@@ -12,7 +12,8 @@
 // a key and a bounded look for any other server.
 const mostVisits = 1200
 
-// perServer are the events that may look at each server a few times: they come a fixed number of times a second, or as the list changes.
+// perServer are the events that may look at each server a few times: they come as the list changes, or the tick at the end of a quarter of the
+// slow-start window.
 var perServer = []string{"list", "tick"}
 
 // visitsOf plays a stream, and gives the most entries that one event of each kind looked at. in may put a module of its own in between.
@@ -57,7 +58,7 @@
 type walking struct{ *Balancer }
 
 func (w walking) Reported(id uint32, pace Time) {
-	for range w.ranks.All() {
+	for range w.ranked.All() {
 	}
 	w.Balancer.Reported(id, pace)
 }
@@ -71,7 +72,23 @@
 	}
 }
 
-// BenchmarkRequest is a request from its arrival to its answer, in the module alone.
+// BenchmarkTick is one tick, in the module alone.
+func BenchmarkTick(b *testing.B) {
+	for _, servers := range []int{200, 800, 3200} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			s, module := newStream(fleetState{servers: servers, cold: 0.3}, 1)
+			s.run(300, 40)
+			s.still = true
+			for b.Loop() {
+				s.now += 200
+				module.TimerDue(tokenTick)
+				s.due = s.due[:0]
+			}
+		})
+	}
+}
+
+// BenchmarkRequest is a request from its arrival to its answer, in the module alone; no tick is played beside it.
 func BenchmarkRequest(b *testing.B) {
 	for _, servers := range []int{200, 800, 3200} {
 		for _, f := range []fleetState{
@@ -84,6 +101,7 @@
 			b.Run(fmt.Sprintf("%s/%d", strings.ReplaceAll(f.name, " ", "_"), servers), func(b *testing.B) {
 				s, _ := newStream(f, 1)
 				s.run(300, 40)
+				s.still = true
 				for b.Loop() {
 					s.run(1, 40)
 				}
--- a/policy/learned.go
+++ b/policy/learned.go
@@ -30,6 +30,8 @@
 
 // Record is what was sent to a cache, and learned of it; nil: it is not known.
 func (b *Balancer) Record(id uint32) *evidence.Record {
+	b.staleSums = true
+	b.sums.Forget() // the caller may change it; until the next tick no slow start is given more than without history
 	if c := b.caches.Get(id); c != nil {
 		return &c.Record
 	}
--- a/policy/learned_test.go
+++ b/policy/learned_test.go
@@ -62,7 +62,7 @@
 			if cold && (c.Limit > f.Limit || c.Sent.Sum() < f.Sent.Sum()) || c.Done.Sum() > 0 {
 				r.Errorf("cache %d: %+v, from nothing %+v", id, c.Record, f.Record)
 			}
-			if cold && b.luck == fresh.luck && b.coldRoom(c, w.now) && !fresh.coldRoom(f, w.now) {
+			if cold && b.windowDraw == fresh.windowDraw && b.slowStartRoom(c, w.now) && !fresh.slowStartRoom(f, w.now) {
 				r.Errorf("cache %d: let in where one that knows nothing lets nothing in", id)
 			}
 			if c.Start == w.now && c.Bad > 0 {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,13 +24,14 @@
 	"minttray/decide/pace"
 	"minttray/decide/shortage"
 	"minttray/decide/site"
+	"minttray/decide/slowstart"
 )
 
 const (
 	slack, spareSeats     = 4, 256              // s0 of the design; seats to it, at least: a fleet grows
 	candidates, doubts    = 3, 2                // caches a key may go to; pushes for which one is passed over
 	quarters              = evidence.Quarters   // four of the cold window, and the one begun
-	coldMargin, missWork  = 0.7, 1.0 / 3        // of the cold budget, the rest is for bunches; of an answer
+	missWork              = 1.0 / 3             // of an answer's work
 	firstLimit            = 12                  // in flight to a cache from all proxies, nothing learned yet
 	leastTokens, mostNews = 4, 32 * 8           // a share split among many still fills; bytes in a message
 	strainUp, strainDown  = 1.0 / 16, 1.0 / 128 // what a failure adds to strain, what an answer takes off it
@@ -58,6 +59,10 @@
 	slow, asking         bool                       // by its last report; a probe is out
 	held                 []*op                      // until that is back
 	wait, heard          Time                       // of an op there, by its last probe; when that came
+
+	ranked      bool                // it is in the list of caches, and in the sums over it
+	failurePart evidence.MedianPart // where those count its failures
+	walk        uint64              // the last walk for a request's candidates that came to it
 }
 
 type op struct {
@@ -65,6 +70,7 @@
 	key                uint64
 	cat                *Category
 	write, done        bool
+	queued             bool    // for the origin
 	lane, beyond, heat float64 // share of a limit for it; benefit lost beyond a share; its key's share
 	aim, due           Time    // until then its answer has full benefit, or is waited for; and a push is begun
 	tenant             *tenant
@@ -92,12 +98,26 @@
 
 type Balancer struct {
 	Settings
-	Counts         Counts
-	host           Host
-	rnd            chance.PCG
-	visits         members.Visits // of entries of the next three
-	caches         members.Map[uint32, *cache]
-	ranks, seats   members.List[*cache] // listed, by start time, then id; by bucket, nil: free
+	Counts        Counts
+	host          Host
+	rnd           chance.PCG
+	visits        members.Visits // of entries of the next three
+	caches        members.Map[uint32, *cache]
+	ranked, seats members.List[*cache] // listed, by start time, then id; by bucket, nil: free
+	seated        members.List[*cache] // those of the buckets that are not free, in their order
+	seatedOwn     members.List[*cache] // and of them the own zone's
+	ownCaches     int                  // in the own zone
+	candidates    candidateWalk        // of the request in hand
+
+	// Sums over the ranked caches.
+	sums     slowstart.Sums[Time]
+	failures failureShares
+	out      int // pushes in flight there
+
+	staleSums         bool // they are made anew at the next tick
+	tickTurn, avoided int  // which caches it looks at, and how many of them that are out it has seen
+
+	reseat         bool // sizes have changed: seats are dealt anew at the next tick
 	circle         circle.Circle
 	origin, shadow *cache // shadow: the origin, as pushes that may fetch show it
 	news           []byte // of kept keys, for the peers
@@ -118,7 +138,7 @@
 
 	row, gap                        float64 // halved by each failed fetch in a row; usual span between pushes
 	benefit, heaviest, sizes, first float64 // the highest; size; their sum; limit with nothing learned
-	strain, luck                    float64 // 0 to 1: how short the fleet is; drawn for each cold window
+	strain, windowDraw              float64 // 0 to 1: how short the fleet is; drawn for each window of slow starts
 	worth, copies                   float64 // of what an op brings: most for news; price of 8 bytes to all
 
 	waited, silent float64 // pushes waited for in full, and those without an answer, fading
@@ -131,7 +151,9 @@
 	b := &Balancer{host: h, rnd: chance.PCG{State: seed}, ops: map[uint32]*op{},
 		zones: map[int]*zone{}, learned: nothing(), rolled: h.Now(), last: h.Now(), row: 1}
 	b.caches = members.NewMap[uint32, *cache](&b.visits)
-	b.ranks, b.seats = members.NewList[*cache](&b.visits), members.NewList[*cache](&b.visits)
+	for _, list := range []*members.List[*cache]{&b.ranked, &b.seats, &b.seated, &b.seatedOwn} {
+		*list = members.NewList[*cache](&b.visits)
+	}
 	b.sites.Own = s.Zone
 	if b.Retune(s); !s.Aside {
 		b.shadow = &cache{shared: true}
@@ -178,7 +200,7 @@
 	}
 	b.asking.Held()
 	for _, c := range b.caches.All() {
-		c.listed = c.listed && kind == ListDelta
+		c.listed, c.ranked = c.listed && kind == ListDelta, false
 	}
 	for _, e := range entries {
 		c := cmp.Or(b.caches.Get(e.ID), &cache{Record: evidence.Record{Limit: b.first}, heard: math.MinInt64 / 2})
@@ -195,23 +217,24 @@
 			b.host.Close(e.ID)
 		}
 	}
-	b.ranks.Reset(0)
+	b.ranked.Reset(0)
 	b.origin = nil
 	for _, c := range b.caches.All() {
 		if c.listed && c.Kind != b.OriginKind {
-			b.ranks.Append(c)
+			b.ranked.Append(c)
+			c.ranked = true
 		} else if c.listed && (b.origin == nil || c.ID < b.origin.ID) { // the lowest id, whatever the map's order
 			b.origin, c.shared = c, true
 		}
 	}
-	b.ranks.Sort(func(all []*cache) {
+	b.ranked.Sort(func(all []*cache) {
 		slices.SortFunc(all, func(x, y *cache) int { return cmp.Or(cmp.Compare(x.Start, y.Start), cmp.Compare(x.ID, y.ID)) })
 	})
 	if b.shadow != nil && b.shadow.cutAt == 0 {
-		b.shadow.Limit = b.first * float64(b.ranks.Len()) / 2
+		b.shadow.Limit = b.first * float64(b.ranked.Len()) / 2
 	}
 	if b.origin != nil && b.origin.cutAt == 0 {
-		b.origin.Limit = float64(max(b.ranks.Len(), firstLimit)) / float64(b.Proxies)
+		b.origin.Limit = float64(max(b.ranked.Len(), firstLimit)) / float64(b.Proxies)
 	}
 	b.seat()
 	b.pump()
@@ -220,14 +243,15 @@
 // seat gives each ranked cache a bucket. Plain ranks shift whenever a cache leaves, and most keys with them;
 // so they only say who is first to choose of many seats: all proxies agree, and a restart gets its seat back.
 func (b *Balancer) seat() {
+	b.reseat = false
 	m := max(b.seats.Len(), slack*spareSeats)
-	for m < 2*b.ranks.Len() {
+	for m < 2*b.ranked.Len() {
 		m *= 2
 	}
 	own, fresh := 0.0, b.heaviest == 0
 	b.circle, b.heaviest, b.sizes = circle.New(slack, m), 0, 0
 	b.seats.Reset(m)
-	for _, c := range b.ranks.All() {
+	for _, c := range b.ranked.All() {
 		if c.size = c.Weight * math.Exp2(-b.speeds[c.Kind].Slower); b.RoughWeights {
 			c.size /= math.Sqrt(c.Weight) // they count cores, not what these do: halfway to equal till that is seen
 		}
@@ -237,6 +261,19 @@
 		}
 		b.seats.Put(circle.Seat(uint64(c.ID), m, func(at int) bool { return b.seats.At(at) == nil }), c)
 	}
+	b.ownCaches = 0
+	b.seated.Reset(0)
+	b.seatedOwn.Reset(0)
+	for _, c := range b.seats.All() {
+		if c == nil {
+			continue
+		}
+		if b.seated.Append(c); c.Zone == b.Zone {
+			b.ownCaches++
+			b.seatedOwn.Append(c)
+		}
+	}
+	b.resetSums()
 	// Danger: a zone with few caches can't take what its proxies are asked for. Decided once: it moves keys.
 	if fresh {
 		b.near = b.CrossPrice*own > extraWorth*math.Pow(float64(b.Zones-1), 2)*b.sizes && b.Zones > 1
@@ -297,129 +334,6 @@
 	}
 }
 
-// share is the part of its capacity that a cache has surely reached.
-func (b *Balancer) share(c *cache, now Time) float64 {
-	if c.Start == 0 || now-c.Start >= b.WarmUp {
-		return 1
-	}
-	return b.ColdFrom + (1-b.ColdFrom)*float64(max(now-c.Start, 0))/float64(b.WarmUp)
-}
-
-// coldRoom keeps all proxies together from pushing a young cache over: each may send it a ratio to what the
-// fleet answers that same proxy, so the sum is safe however the traffic is spread.
-func (b *Balancer) coldRoom(c *cache, now Time) bool {
-	share := b.share(c, now)
-	if share >= 1 {
-		return true
-	}
-	done, capacity, sizes := 0.0, 0.0, 0.0
-	for _, r := range b.ranks.All() {
-		if r.Out || r.State != Ready { // Danger: with those counted in that get nothing, less is let in than the
-			continue // others answer, of which less is answered, until hardly anything is let in at all.
-		}
-		capacity += r.Weight * b.share(r, now)
-		sizes += r.size * b.share(r, now)
-		done += r.Done.Sum()
-	}
-	// Under one push is drawn by chance for each window; without history all together may try about one.
-	part := max(min(c.Weight/capacity, c.size/sizes)*done, 1/float64(b.Proxies))
-	return c.Sent.Sum()+1 <= coldMargin*b.FallMultiple*share*part+b.luck
-}
-
-// allowed tells whether the rules and the cache's state let this op go there now.
-func (b *Balancer) allowed(o *op, c *cache, now Time) bool {
-	if !c.listed || c.State != Ready || c.Out || slices.Contains(o.tried, c) ||
-		c != b.origin && (now < c.restUntil || c.by.StandOut(&b.all.by, o.cat) || !b.coldRoom(c, now)) {
-		return false
-	}
-	// A repeat that may have run is only dropped inside its group and window.
-	return o.ran == nil || o.cat.Effect == Redeliverable ||
-		o.cat.Effect == Deduplicated && now+b.Tick < o.ran.at+o.cat.Window && (o.cat.Group == GroupAll ||
-			o.cat.Group == GroupZone && c.Zone == o.ran.to.Zone || o.cat.Group == GroupCell && c.Cell == o.ran.to.Cell)
-}
-
-// choices walks the caches that a key maps to; a missing rank is rehashed. One sequence of salts: the next is
-// where the key lives without the first, so that it moves once when a cache comes or goes. With zones near it
-// lives in each: as many as it fills of the own come first, then by turns one of another and of the own.
-func (b *Balancer) choices(key uint64, spread int) func(n int) []*cache {
-	var choices, left []*cache
-	salt, size := uint64(0), uint64(b.circle.Size())
-	return func(n int) []*cache {
-		for n = min(n, b.ranks.Len()); len(choices) < n; salt++ {
-			away := (len(choices)-spread)%2 == 0 && len(choices) >= spread
-			at := slices.IndexFunc(left, func(c *cache) bool { return !b.near || (c.Zone != b.Zone) == away })
-			if at < 0 && (salt >= 8*size || len(choices)+len(left) == b.ranks.Len()) {
-				at = min(len(left), 1) - 1 // no other is to come
-			}
-			if at >= 0 {
-				choices, left = append(choices, left[at]), slices.Delete(left, at, at+1)
-				salt--
-				continue
-			} else if salt >= 8*size {
-				break
-			}
-			c := b.seats.At(b.circle.At(key, salt))
-			// A small cache is passed over in proportion, by the key's hash, alike at every proxy.
-			if c != nil && !slices.Contains(choices, c) && !slices.Contains(left, c) &&
-				float64(circle.Mix(key, ^salt)>>32) < c.size/b.heaviest*(1<<32) {
-				left = append(left, c)
-			}
-		}
-		return choices
-	}
-}
-
-func (b *Balancer) route(o *op) *cache {
-	now, total := b.host.Now(), 0
-	for _, c := range b.ranks.All() {
-		total += c.out
-	}
-	// A key that asks for more than a mean cache's fair share is spread over as many as it would fill.
-	spread := 1 + int(o.heat*float64(b.ranks.Len()))
-	more := b.choices(o.key, spread)
-	choices := more(spread)
-	if n := len(choices); n > 1 {
-		first := int(b.rnd.Next()) % n
-		choices[0], choices[first] = choices[first], choices[0]
-	}
-	// While the origin has room for a miss, a choice at its limit is passed over like one that is not ready.
-	spare := b.origin != nil && len(b.queue) == 0 && b.usually(b.origin) <= b.origin.near*3/2 &&
-		b.strain < calm+0.25 && o.beyond == 0
-	most := max(candidates, spread) // those in doubt are not counted: of a lost zone, three would often be
-	for i := 0; i < most; i++ {
-		if choices = more(i + 1); i >= len(choices) {
-			break
-		}
-		c := choices[i]
-		mean := float64(total) * c.size / b.sizes // in proportion to its size
-		// It, or all of its zone, lately failed this proxy; few proxies each see enough to go by limits.
-		doubt := b.Proxies > firstLimit && (c.doubt.Stands(now) || b.sites.Stands(c.Zone, o.key, now)) ||
-			b.rnd.Share() < c.shun && (b.shadow == nil || b.room(b.shadow, o))
-		if doubt || b.far(o, c, now) || spare && b.crowded(c, now) > 0 { // else a pass is a miss in vain
-			most = min(most+1, 3*candidates)
-		} else if b.allowed(o, c, now) && float64(c.out) <= max(2*mean, mean+2) && (!spare || b.room(c, o)) {
-			return c
-		}
-	}
-	var least *cache // of the candidates, or of all if no candidate is ready
-	consider := func(c *cache) {
-		if b.allowed(o, c, now) && (least == nil || cmp.Or(cmp.Compare(b.crowded(c, now), b.crowded(least, now)),
-			cmp.Compare(c.out, least.out)) < 0) {
-			least = c
-		}
-	}
-	for _, c := range choices {
-		consider(c)
-	}
-	if least != nil {
-		return least
-	}
-	for _, c := range b.ranks.All() {
-		consider(c)
-	}
-	return least
-}
-
 // way is how much longer than usual the way to a cache's zone takes, less what the own zone's answers do.
 func (b *Balancer) way(c *cache) Time {
 	z, own := b.zones[c.Zone], cmp.Or(b.zones[b.Zone], &zone{})
@@ -541,6 +455,7 @@
 		at--
 	}
 	b.queue = slices.Insert(b.queue, at, o)
+	o.queued = true
 	b.pump()
 }
 
@@ -548,6 +463,7 @@
 	for len(b.queue) > 0 && b.origin != nil && b.room(b.origin, b.queue[0]) {
 		o := b.queue[0]
 		b.queue = b.queue[1:]
+		o.queued = false
 		if now := b.host.Now(); now < o.due && b.allowed(o, b.origin, now) && b.origin.span.Chance(
 			b.ticks(o.aim-now-b.way(b.origin)), b.ticks(b.target)) >= 2*leastChance {
 			b.push(o, b.origin) // with less time left, it would be asked in vain
@@ -575,12 +491,20 @@
 	if c != b.origin {
 		o.tried = append(o.tried, c)
 	}
-	o.n, c.out, c.sentAt, c.open = o.n+1, c.out+1, now, true
+	o.n, c.sentAt, c.open = o.n+1, now, true
+	b.inFlight(c, 1)
 	c.Sent[0]++
 	b.gap, b.last = b.gap+(float64(now-b.last)-b.gap)/32, now
 	b.host.Push(o.id, c.ID, until)
 }
 
+// inFlight books that a push to a cache begins, or has ended.
+func (b *Balancer) inFlight(c *cache, change int) {
+	if c.out += change; c.ranked {
+		b.out += change
+	}
+}
+
 // until is how long a push is waited for: where answers get lost, so that another cache can still answer.
 func (b *Balancer) until(o *op, c *cache, now Time) Time {
 	if c == b.origin || b.mayFetch(o) || o.cat.Effect != Redeliverable || o.n+2 > o.most || b.strain >= calm ||
@@ -601,12 +525,12 @@
 		return
 	}
 	p := o.out[i]
-	c, judged := p.to, p.to
+	c, blamed := p.to, p.to
 	o.out = slices.Delete(o.out, i, i+1)
 	if !how.NeverRan() && (o.ran == nil || p.at < o.ran.at) {
 		o.ran = &p
 	}
-	if c.out--; p.fetches {
+	if b.inFlight(c, -1); p.fetches {
 		b.shadow.out--
 	}
 	now, good := b.host.Now(), 0.0
@@ -654,20 +578,18 @@
 		c.doubt.End()
 	}
 	if c != b.origin && (how == Acked && !missed || how == TimedOut && ill >= 0.5) && b.share(c, now) >= 1 {
-		if evidence.Compare(b.speeds, c.Kind, b.ticks(taken)) {
-			b.seat()
-		}
+		b.reseat = evidence.Compare(b.speeds, c.Kind, b.ticks(taken)) || b.reseat
 	}
-	c.Good, c.Bad = c.Good+good, c.Bad+ill
+	b.judged(c, good, ill)
 	c.by.Book(o.cat, good, ill)
 	b.all.by.Book(o.cat, good, ill)
 	if p.full && c != b.origin && (good > 0 || how == TimedOut) {
 		b.waited, b.silent = b.waited+1, b.silent+ill
 	}
 	if how == Miss {
-		c.Done[0] += missWork // Danger: counted in full, where most miss, cold caches were sent too many that hit
+		b.answered(c, missWork) // Danger: counted in full, where most miss, cold caches were sent too many that hit
 	} else if how == Acked {
-		c.Done[0]++
+		b.answered(c, 1)
 		o.tenant.again.Earn(againShare, mostAgain)
 		// To hundreds few are worth it; one that looks like an id would be taken for a failing cache.
 		if b.shadow != nil && b.kept.Add(o.key) && len(b.news) < mostNews &&
@@ -677,16 +599,16 @@
 	}
 	// A failed fetch is the origin's fault; but a sick cache's time-outs must not shut the origin for all keys.
 	if b.shadow != nil && (missed || p.fetches && how == TimedOut && !b.sick(c)) {
-		judged = b.shadow
+		blamed = b.shadow
 	}
 	if c != b.origin && answered {
 		b.gate.Ended(1/max(c.Sent.Sum(), 1), float64(taken)/float64(o.cat.Target), p.share)
-	} else if c != b.origin && judged == c { // a fetch is the origin's; to be turned away is quick
+	} else if c != b.origin && blamed == c { // a fetch is the origin's; to be turned away is quick
 		b.gate.Ended(load/max(c.Sent.Sum(), 1), 1, p.share)
 	}
 	// One measure for all: the tightest category's would cut a cache for work that is naturally longer.
 	b.target += (o.cat.Target - b.target) / 64
-	b.learn(judged, how, taken, b.target/3, load)
+	b.learn(blamed, how, taken, b.target/3, load)
 	if p.fetches && how == Acked && !missed { // kept after all: the shadow must not learn from failures alone
 		b.learn(b.shadow, how, taken, b.target/3, load)
 	}
@@ -710,11 +632,6 @@
 	}
 }
 
-// suspect lets a cache be passed over until this proxy's next few pushes there would come.
-func (b *Balancer) suspect(c *cache) {
-	c.doubt.Begin(b.host.Now(), min(Time(doubts*b.gap*float64(b.ranks.Len())), 64*b.shortest))
-}
-
 // Reported takes a cache's own word of how long its ops take, which shows what all proxies send it.
 func (b *Balancer) Reported(id uint32, pace Time) {
 	if c := b.caches.Get(id); c != nil && c != b.origin {
@@ -818,23 +735,6 @@
 	}
 }
 
-// suspend rests a cache, longer each time until it answers, lest one that stands still is fed a share of ops.
-func (b *Balancer) suspend(c *cache, now Time) {
-	if now >= c.restUntil {
-		c.rest = min(max(2*c.rest, b.shortest), 16*b.shortest)
-		c.restUntil = now + b.between(c.rest/2, c.rest)
-	}
-}
-
-// sick tells whether a cache's share of failures stands out against the fleet's median.
-func (b *Balancer) sick(c *cache) bool {
-	var shares []float64
-	for _, r := range b.ranks.All() {
-		shares = append(shares, r.Bad/max(r.Good+r.Bad, 1))
-	}
-	return c.Bad >= 3 && evidence.Outlier(c.Bad/(c.Good+c.Bad), shares)
-}
-
 // PeerSaid takes keys that are kept, as a new proxy would fear a fetch for most, and ids of failing caches.
 func (b *Balancer) PeerSaid(news []byte) {
 	for ; len(news) >= 8; news = news[8:] {
@@ -888,7 +788,10 @@
 	if o.done = true; len(o.out) == 0 {
 		delete(b.ops, o.id)
 	}
-	b.queue = slices.DeleteFunc(b.queue, func(q *op) bool { return q == o })
+	if o.queued {
+		b.queue = slices.DeleteFunc(b.queue, func(q *op) bool { return q == o })
+		o.queued = false
+	}
 }
 
 // TimerDue takes back a token; timers can't be unset, so a stale one does nothing.
@@ -904,71 +807,3 @@
 		b.giveUp(o, TooLate)
 	}
 }
-
-func (b *Balancer) tick() {
-	now := b.host.Now()
-	b.host.Timer(tokenTick, 4*b.Tick)
-	for _, t := range b.tenants {
-		t.tokens = min(t.tokens+t.rate*float64(4*b.Tick)/10000, max(2*t.rate, leastTokens))
-	}
-	if now >= b.rolled+b.TipAfter/(quarters-1) {
-		b.roll(now)
-	}
-	// Old evidence fades with time as well: a proxy that pushes little would else never hear that it is wrong.
-	fade := float64(4*b.Tick) / float64(4*b.target)
-	// Danger: hundreds of proxies fill the caches' tables with connections that mostly end unused all the same.
-	idle := b.HandshakePrice / b.ConnPrice * 100 / float64(b.Proxies)   // in usual spans between pushes there
-	idle *= min(math.Floor(2*idle), 1) * float64(b.ranks.Len()) * b.gap // none, if they end before half of one
-	b.Counts.Listed, b.Counts.Avoided = b.ranks.Len(), 0
-	for _, c := range b.ranks.All() { // without prices idle is no number, and nothing is closed
-		if c.shun -= c.shun * fade; c.Out || now < c.restUntil {
-			b.Counts.Avoided++
-		}
-		if c.open && c.out == 0 && float64(now-c.sentAt) > idle {
-			c.open = false
-			b.host.Close(c.ID)
-		}
-	}
-	if now > b.failed+4*b.target {
-		b.strain -= b.strain * fade
-	}
-	giveBack := func(c *cache) {
-		if c != nil && c.Limit < 1 && now > c.cutAt+4*b.target {
-			c.Limit = min(c.Limit*(1+fade), 1)
-		}
-	}
-	for _, c := range b.ranks.All() {
-		giveBack(c)
-	}
-	giveBack(b.origin)
-	giveBack(b.shadow)
-	b.pump()
-}
-
-// roll lets a quarter of the cold window pass; no map's order matters here.
-func (b *Balancer) roll(now Time) {
-	if b.rolled = now; b.Peers && len(b.news) > 0 {
-		b.host.Tell(b.news)
-		b.news = nil
-	}
-	if b.turn%quarters == 0 {
-		b.luck = b.rnd.Share()
-	}
-	if b.turn++; b.shadow != nil && b.turn%(2*quarters) == 0 {
-		b.kept.Turn()
-	}
-	for id, c := range b.caches.All() {
-		if !c.listed && !c.asking && c.out == 0 && c.Sent.Sum() == 0 {
-			b.caches.Delete(id) // ids are ever new: kept for good, they would fill the memory
-		}
-		c.Roll(0.8)
-		c.span.Fade(0.5)
-		c.by.Fade(0.8)
-	}
-	for _, z := range b.zones { // a way that stays slow is its way
-		z.Settle()
-	}
-	b.all.span.Fade(0.8)
-	b.all.by.Fade(0.8)
-	b.waited, b.silent = b.waited*0.8, b.silent*0.8
-}
--- a/policy/stream_test.go
+++ b/policy/stream_test.go
@@ -36,6 +36,7 @@
 		Write([]byte) (int, error)
 		Sum64() uint64
 	}
+	still  bool                            // no tick is played any more
 	around func(kind string, event func()) // what surrounds each event
 }
 
@@ -61,10 +62,12 @@
 
 type streamEvents []streamEvent
 
-func (s streamEvents) Len() int           { return len(s) }
-func (s streamEvents) Less(i, j int) bool { return s[i].at < s[j].at || s[i].at == s[j].at && s[i].seq < s[j].seq }
-func (s streamEvents) Swap(i, j int)      { s[i], s[j] = s[j], s[i] }
-func (s *streamEvents) Push(x any)        { *s = append(*s, x.(streamEvent)) }
+func (s streamEvents) Len() int { return len(s) }
+func (s streamEvents) Less(i, j int) bool {
+	return s[i].at < s[j].at || s[i].at == s[j].at && s[i].seq < s[j].seq
+}
+func (s streamEvents) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+func (s *streamEvents) Push(x any)   { *s = append(*s, x.(streamEvent)) }
 func (s *streamEvents) Pop() any {
 	last := (*s)[len(*s)-1]
 	*s = (*s)[:len(*s)-1]
@@ -223,6 +226,9 @@
 	kind := "timer"
 	if token == tokenTick {
 		kind = "tick"
+		if s.still {
+			return
+		}
 	}
 	s.around(kind, func() { s.module.TimerDue(token) })
 }
