Front: no connection ends while a request is read, handed in, or its answer written

Cause: what is owed on a connection was read off three fields, and none of them covered an answer that the writer had taken out of its slot, nor a request that the reader had taken off the socket: makeWay closed the connection. The same mistake elsewhere: bytes behind our own end were read and thrown away, requests read together with 16 bad commands were dropped, and a request whose reader panicked never got an answer. Change: conn.owes is the one owner (reading, answer, writing, nothing); a connection is closed by its writer alone, once nothing is owed and the reader has said that nothing more is read; making way asks the reader to end, one at a time; nothing is taken off the socket behind our end, so a request there stays unread and its client is told by a reset; requests read with bad commands get -BUSY, one whose reader panicked its error. TestACommandThatCrossesMakingWay asks for the same at the connection's end, as making way is no longer done within the call.

--- a/internal/front/away.go
+++ b/internal/front/away.go
@@ -32,6 +32,23 @@
 	})
 }
 
+// unsent tells whether our system still has bytes that the client's has not said to have: to close would lose them.
+func unsent(nc net.Conn) (some bool) {
+	socket, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(fd uintptr) {
+		n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		some = err == nil && n > 0
+	})
+	return some
+}
+
 var passed = time.Unix(1, 0) // as a deadline it ends a wait
 
 // watch looks after a client from which nothing is read for a while, and drops its connection once it has left; gone is
--- a/internal/front/closing_test.go
+++ b/internal/front/closing_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -120,3 +122,56 @@
 		})
 	}
 }
+
+// Danger: a request with which the front itself fails has been read, and its place in the order holds up all others.
+func TestARequestThatPanicsIsAnswered(t *testing.T) {
+	f, e := serve(t, nil)
+	c := dial(t, f)
+	c.send(get("a") + get("panic"))
+	wait(t, e.taken).Reply.Acked([]byte("v"))
+	c.want("$1", "v", "-ERR dead-lettered: it may have run", "EOF")
+}
+
+// Danger: a connection ends for its bad commands, and a request that was read with them is dropped.
+func TestARequestReadWithBadCommandsIsAnswered(t *testing.T) {
+	f, e := serve(t, nil)
+	c := dial(t, f)
+	c.send(strings.Repeat(words("NONSENSE"), mostRefused+5) + get("a") + words("NONSENSE") + get("b"))
+	for range mostRefused {
+		c.want("-ERR unknown command 'NONSENSE'")
+	}
+	c.want("-BUSY", "-BUSY", "EOF")
+	if len(e.taken) > 0 {
+		t.Error("a request was handed in on a connection that ends")
+	}
+}
+
+// socketError is what a reset leaves at a socket whose other side has ended before.
+func socketError(t *testing.T, nc net.Conn) (found syscall.Errno) {
+	raw, err := nc.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw.Control(func(fd uintptr) {
+		n, _ := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR)
+		found = syscall.Errno(n)
+	})
+	return found
+}
+
+// Danger: what comes behind our end is read and thrown away: a request that was read would be lost. Unread, it makes the close a reset, by which its
+// client knows that it was not taken.
+func TestNothingIsReadBehindTheEnd(t *testing.T) {
+	f, e := serve(t, nil)
+	c := dial(t, f)
+	c.send(get("a"))
+	wait(t, e.taken).Reply.Acked([]byte("v"))
+	c.want("$1", "v")
+	f.Turn(lifecycle.All, true, 0)
+	c.want("EOF")
+	c.send(get("late"))
+	until(t, "a reset", func() bool { return socketError(t, c.Conn) == syscall.EPIPE })
+	if len(e.taken) > 0 {
+		t.Error("a request was handed in behind the end")
+	}
+}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -19,7 +19,7 @@
 	slowClient  = 10 * time.Second        // for one write
 	halfAtEnd   = 500 * time.Millisecond  // for the rest of a command that was half read as the connection was to end
 	linger      = 300 * time.Millisecond  // for the client's end, once ours is said
-	mostScrap   = 256 << 10               // bytes that are read and thrown away meanwhile
+	unsentEvery = 5 * time.Millisecond    // between two looks whether a client's system has the last answer
 )
 
 // conn is one client's connection. One goroutine reads commands, one writes answers in the commands' order.
@@ -35,6 +35,7 @@
 	size    int       // of buf, as far as the front's sum knows it
 	began   time.Time // when the half command in buf began to come
 	refused int
+	handing *slot // whose op is being handed in
 
 	mu        sync.Mutex
 	slots     []*slot // by command; not yet written
@@ -50,6 +51,8 @@
 	graceEnds time.Time
 	last      bool // all is answered and our side is closed: only the client's end is waited for
 	unread    bool // the reader has stopped: no further command is taken
+	writing   bool // answers that have left slots are being written
+	evicted   bool // it ends to make way for another
 	ended     bool
 
 	stopped chan struct{} // closed once the reader is done with the connection
@@ -90,7 +93,7 @@
 func (c *conn) unused() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.half && len(c.slots) == 0 && time.Since(c.used) > fresh && time.Since(c.born) > newcomer
+	return c.owes() == owesNothing && time.Since(c.used) > fresh && time.Since(c.born) > newcomer
 }
 
 // old tells whether a client has asked, or has had the time to since it came.
@@ -100,38 +103,27 @@
 	return c.heard || c.born.Before(born)
 }
 
-// bye ends a connection whose answers are all written. Closing with unread input would reset it, and the reset
-// could overtake the last answer: so our side ends first, and the client's is read to its end.
+// bye ends a connection on which nothing is owed and nothing is read any more. Closing with unread input would reset it, and the reset could
+// overtake the last answer: so our side ends first, and the client's end is waited for. Danger: nothing that comes meanwhile is taken off the
+// connection. A request that was read would be lost by the close; one that was not, its client sends again.
 func (c *conn) bye() {
 	if half, ok := c.nc.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		c.nc.SetReadDeadline(passed)
+		<-c.stopped // from here on this goroutine waits on it
+		late := time.Now().Add(linger)
 		c.mu.Lock()
 		c.last = true
+		if c.nc.SetReadDeadline(late); c.evicted {
+			c.nc.SetReadDeadline(passed)
+		}
 		c.mu.Unlock()
-		c.nc.SetReadDeadline(passed)
-		<-c.stopped // from here on this goroutine reads
-		c.nc.SetReadDeadline(time.Now().Add(linger))
-		scrap := make([]byte, 4<<10)
-		for read := 0; read < mostScrap; {
-			n, err := c.nc.Read(scrap)
-			if read += n; err != nil {
-				break
-			}
+		for away(c.nc) != nil && unsent(c.nc) && time.Now().Before(late) {
+			c.nc.SetReadDeadline(time.Now().Add(unsentEvery))
 		}
 	}
 	c.drop()
 }
 
-// makeWay drops the connection for another's sake, unless something came on it meanwhile, and tells whether it did.
-func (c *conn) makeWay() bool {
-	c.mu.Lock()
-	if c.ended || !c.last && (c.ending || c.half || len(c.slots) > 0) {
-		c.mu.Unlock()
-		return false
-	}
-	c.close()
-	return true
-}
-
 // drop closes the connection at once. Ops that are still open have lost their client.
 func (c *conn) drop() {
 	c.mu.Lock()
--- a/internal/front/endings_test.go
+++ b/internal/front/endings_test.go
@@ -162,11 +162,15 @@
 	if chosen = choose(); !chosen.makeWay() {
 		t.Error("an idle connection did not make way")
 	}
+	if got := c.line(); got != "EOF" {
+		t.Error(got)
+	}
+	until(t, "ended", func() bool { return f.Open() == 0 })
 	if chosen.got() {
 		t.Error("something was taken behind the end")
 	}
-	if got := c.line(); got != "EOF" {
-		t.Error(got)
+	if len(e.taken) > 0 {
+		t.Error("something was handed in behind the end")
 	}
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -115,6 +115,8 @@
 	fresh   = 25 * time.Millisecond  // a client that has just connected, or been answered, is about to send
 	patient = 100 * time.Millisecond // for a descriptor to become free
 
+	changeWait = 5 * time.Millisecond // for a connection to end, until the next look
+
 	longRoom = 2 * time.Second
 )
 
@@ -136,7 +138,7 @@
 		}
 		f.mu.Unlock()
 		if old != nil && old.makeWay() {
-			// If a command crosses this, it was not taken, and its client sends it again.
+			// If a command crosses this unread, its client sends it again; one that was read is answered first.
 			f.evicted.Add(1)
 		}
 		if room {
@@ -144,9 +146,6 @@
 			go c.write()
 			return
 		}
-		if old != nil {
-			continue
-		}
 		if time.Now().After(late) {
 			f.crowded.Add(1)
 			nc.Close()
@@ -154,7 +153,7 @@
 		}
 		select {
 		case <-f.changed:
-		case <-time.After(5 * time.Millisecond):
+		case <-time.After(changeWait):
 		}
 	}
 }
@@ -167,14 +166,16 @@
 func (f *Front) dispensable(before time.Time, room bool) *conn {
 	var silent, idle, done *conn
 	unheard, quiet, most := 0, 0, int(f.Conns.Load())
+	leaving := false // one makes way already
 	for c := range f.conns {
 		c.mu.Lock()
+		leaving = leaving || c.evicted && c.owes() == owesNothing
 		switch {
 		case c.last:
 			if c.used.Before(before) {
 				done = c
 			}
-		case c.ending || c.half || len(c.slots) > 0:
+		case c.ending || c.owes() != owesNothing:
 		case !c.heard:
 			unheard++
 			if silent == nil || c.born.Before(silent.born) {
@@ -189,7 +190,7 @@
 		c.mu.Unlock()
 	}
 	switch {
-	case room && quiet < most/2:
+	case leaving || room && quiet < most/2:
 		return nil
 	case room:
 		return idle
--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -23,6 +23,7 @@
 	defer func() {
 		if fault := recover(); fault != nil {
 			c.front.panicked(c, fault)
+			c.answerHanded()
 			c.stop() // what was taken still gets its answer
 		}
 	}()
@@ -75,6 +76,11 @@
 			c.buf.Take(n)
 			c.began = time.Time{}
 		}
+		if c.refused >= mostRefused {
+			c.front.hopeless.Add(1)
+			c.stop()
+			return
+		}
 		if len(c.buf.Bytes()) == 0 {
 			c.began = time.Time{}
 		} else if c.began.IsZero() {
@@ -111,7 +117,7 @@
 // late is called when the reader's time ran out; it tells whether to read on.
 func (c *conn) late() bool {
 	c.mu.Lock()
-	ending, idle := c.ending, len(c.slots) == 0 && time.Since(c.used) >= idleClient
+	ending, idle := c.ending, c.owes() == owesNothing && time.Since(c.used) >= idleClient
 	half, heard := c.half, c.heard
 	c.mu.Unlock()
 	switch {
@@ -130,6 +136,16 @@
 	return true
 }
 
+// answerHanded answers the request that was being handed in as its reader panicked: whether the engine has it is not known.
+func (c *conn) answerHanded() {
+	if s := c.handing; s != nil {
+		c.mu.Lock()
+		s.op = nil
+		c.mu.Unlock()
+		s.DeadLettered()
+	}
+}
+
 // end answers with an error, and ends the connection once what came before it is answered.
 func (c *conn) end(reason *atomic.Int64, err error) {
 	c.refuse(reason, err)
@@ -144,8 +160,7 @@
 	until := time.Now().Add(idleClient)
 	switch {
 	case c.ending && (!c.half || c.grace):
-		c.unread = true
-		c.signal()
+		c.stopReading() // of half a command the rest has not come: it is no request
 		return false
 	case c.ending:
 		// The rest may already stand in the kernel's buffer, and the op is then taken.
@@ -165,9 +180,9 @@
 // stop ends reading for good; the reader calls it.
 func (c *conn) stop() {
 	c.mu.Lock()
-	c.ending, c.unread = true, true
-	c.mu.Unlock()
-	c.signal()
+	defer c.mu.Unlock()
+	c.ending = true
+	c.stopReading()
 }
 
 func (c *conn) refuse(reason *atomic.Int64, err error) {
@@ -189,11 +204,7 @@
 // bad refuses a command whose end is known, so that the connection can go on, unless too many were bad.
 func (c *conn) bad(reason *atomic.Int64, err error) (goOn bool) {
 	c.refuse(reason, err)
-	if c.refused++; c.refused >= mostRefused {
-		c.front.hopeless.Add(1)
-		c.stop()
-		return false
-	}
+	c.refused++
 	return true
 }
 
@@ -207,6 +218,9 @@
 		}
 	}()
 	name := strings.ToUpper(string(words[0][:min(len(words[0]), 32)]))
+	if c.refused >= mostRefused {
+		return c.refuseRest(name)
+	}
 	switch name {
 	case "CACHE.GET", "CACHE.SET":
 		names := c.front.names.Load()
@@ -219,7 +233,9 @@
 		if !c.reserve(s) {
 			return false
 		}
+		c.handing = s
 		err = c.front.Engine.Submit(op)
+		c.handing = nil
 		if err == nil {
 			handed = true
 			return true
@@ -248,6 +264,14 @@
 	return c.bad(&c.front.malformed, errors.New("unknown command '"+name+"'"))
 }
 
+// refuseRest takes a command that was read with bad ones, on a connection that ends for those: a request gets its answer all the same.
+func (c *conn) refuseRest(name string) bool {
+	if name != "CACHE.GET" && name != "CACHE.SET" {
+		return true
+	}
+	return c.reserve(&slot{c: c, answer: []byte("-BUSY\r\n")})
+}
+
 // crowded tells whether a further command has to wait; the mutex is held.
 func (c *conn) crowded() bool { return len(c.slots) >= mostWaiting || c.piled >= mostPiled }
 
--- a/internal/front/writer.go
+++ b/internal/front/writer.go
@@ -31,6 +31,7 @@
 		}
 		c.slots = append(c.slots[:0], c.slots[n:]...)
 		ended := c.ended
+		c.writing = n > 0 && !ended
 		c.mu.Unlock()
 		if ended {
 			return
@@ -55,6 +56,7 @@
 			}
 		}
 		c.mu.Lock()
+		c.writing = false
 		if lifecycle.Phase(c.front.phase.Load()) >= lifecycle.Answered && len(c.slots) == 0 && len(out) > 0 {
 			// Right behind an answer the client is least likely to be writing: what crosses the end is left unread.
 			c.endReading()
@@ -66,7 +68,7 @@
 		c.used = time.Now()
 		c.room.Signal()
 		// Not before the reader has stopped: a command that it has read but not yet put in its place would be lost.
-		last := c.unread && len(c.slots) == 0
+		last := c.closable()
 		more := len(c.slots) > 0 && c.slots[0].answer != nil
 		c.mu.Unlock()
 		if out = out[:0]; cap(out) > 16<<10 {
