Engine: requests are answered in time while its goroutine is behind

Cause: queue, timers, module and the last net (expire) share the engine's goroutine; when one event or a row of them takes long, nothing answers. Change: behind.go looks after open requests on a timer that is set only while events are handled: 20 ms into a row, then each 5 ms. What is done is decided in decide/overload: one without an attempt is refused at half of its time, one whose answer has come is served by it, one that may have run fails as its time ends; at the process's end all that is open. An op moves on by one atomic step, so that what is refused is never begun, and Request.Leave keeps what waits for a connection from being written. Submit turns away by the age of the oldest event (over 250 ms, or over half of what the request has left).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -174,7 +174,7 @@
 	counters := func() {
 		done := make(chan struct{})
 		e.Do(func(e *engine.Engine) {
-			log.Info().Object("engine", &e.Counters).Object("clients", f).Object("servers", shared).
+			log.Info().Object("engine", &e.Counters).Object("behind", e.Behind()).Object("clients", f).Object("servers", shared).
 				Object("discovery", watch).Msg("counters")
 			close(done)
 		})
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"minttray/decide/overload"
 	"minttray/decide/site"
 	"minttray/decide/warm"
 	"minttray/internal/pulse"
@@ -44,13 +45,16 @@
 // Engine is the module's host. All fields below the queue belong to its goroutine.
 type Engine struct {
 	Options
-	Counters Counters
-	queue    queue
-	maxOps   atomic.Int64
-	ops      atomic.Int64 // held, from Submit to the last push's end
-	bytes    atomic.Int64
-	ids      *ids
-	ending   atomic.Bool // all is handed back, and nothing is taken
+	Counters   Counters
+	queue      queue
+	maxOps     atomic.Int64
+	ops        atomic.Int64 // held, from Submit to the last push's end
+	bytes      atomic.Int64
+	ids        *ids
+	ending     atomic.Bool // all is handed back, and nothing is taken
+	unanswered openOps
+	oldest     atomic.Int64 // since when the event in hand has waited, in nanoseconds since origin; 0: none is
+	behind     *behind
 
 	module  Module
 	catalog Catalog
@@ -113,6 +117,7 @@
 	for _, name := range o.Out {
 		e.out[name] = true
 	}
+	e.behind = newBehind(e)
 	e.sites = e.hands(o.Sites)
 	e.maxOps.Store(int64(o.MaxOps))
 	e.queue.wake = make(chan struct{}, 1)
@@ -157,6 +162,7 @@
 func (e *Engine) Run(stop <-chan struct{}) {
 	clock := time.NewTimer(time.Hour)
 	defer clock.Stop()
+	defer e.behind.stop()
 	var events []event
 	for {
 		if wait, bounded := e.nextTimer(); bounded {
@@ -170,18 +176,27 @@
 		}
 		events = e.queue.take(events)
 		e.Counters.Longest = max(e.Counters.Longest, len(events))
-		from := time.Now()
-		for i, ev := range events {
-			e.first()
-			e.Counters.Delay = max(e.Counters.Delay, time.Since(ev.at))
-			e.handle(ev.do)
-			events[i] = event{}
-			e.fire()
-		}
+		e.row(events)
+	}
+}
+
+// row handles a row of events, and the timers that are due between them.
+func (e *Engine) row(events []event) {
+	from := time.Now()
+	e.behind.begin(from)
+	defer e.behind.end()
+	for i, ev := range events {
+		e.handling(ev.at)
 		e.first()
+		e.Counters.Delay = max(e.Counters.Delay, time.Since(ev.at))
+		e.handle(ev.do)
+		events[i] = event{}
 		e.fire()
-		e.Counters.Stall = max(e.Counters.Stall, time.Since(from))
 	}
+	e.handling(time.Now())
+	e.first()
+	e.fire()
+	e.Counters.Stall = max(e.Counters.Stall, time.Since(from))
 }
 
 // nextTimer is how long the engine may wait for events: up to its next timer, and its next beat.
@@ -252,11 +267,19 @@
 		e.bytes.Add(-size)
 		return ErrFull
 	}
+	if now := time.Now(); overload.TurnAway(overload.Time(e.lag(now)), overload.Time(o.Request.Deadline.Left(now))) {
+		e.ops.Add(-1)
+		e.bytes.Add(-size)
+		e.behind.TurnedAway.Add(1)
+		return ErrLate
+	}
 	if !e.ids.add(o.Request.ID, o.At) {
 		e.ops.Add(-1)
 		e.bytes.Add(-size)
 		return ErrTwice
 	}
+	o.mark(&o.Trace.Submitted, time.Now())
+	e.unanswered.add(o)
 	e.queue.put(func() { e.arrived(o, size) })
 	return nil
 }
@@ -265,6 +288,7 @@
 func (e *Engine) Leave(o *Op) {
 	o.Request.Leave()
 	e.queue.put(func() {
+		e.unanswered.remove(o)
 		if h := o.held; h != nil && !h.over {
 			e.Counters.Left++
 			e.end(h)
@@ -275,9 +299,13 @@
 }
 
 func (e *Engine) arrived(o *Op, size int64) {
-	if o.Request.Left() { // before the engine came to it: there is nobody to answer, and nothing has begun
+	o.mark(&o.Trace.Arrived, time.Now())
+	if o.Request.Left() { // before the engine came to it: there is nobody to answer, or it has its answer; nothing has begun
 		e.Counters.Taken++
-		e.Counters.Left++
+		if progress(o.progress.Load()) != opAnswered {
+			e.Counters.Left++
+		}
+		e.unanswered.remove(o)
 		if o.Over != nil {
 			o.Over()
 		}
@@ -320,11 +348,22 @@
 	e.Counters.Overdue++
 	e.Logger.Error().Str("op", h.Request.ID).Msg("op not answered by its TTL")
 	e.end(h)
-	h.Reply.DeadLettered()
+	if e.answers(h) {
+		h.Reply.DeadLettered()
+	}
 	e.module.ClientLeft(h.id)
 	e.forget(h)
 }
 
+// answers takes the right to answer an op on the engine's goroutine; false: it was answered as that was behind.
+func (e *Engine) answers(h *op) bool {
+	if _, ok := h.claim(); !ok {
+		return false
+	}
+	e.answered(h.Op, false)
+	return true
+}
+
 // end marks an op as over: the one place through which each op goes once. Danger: a push that still dials, or waits for
 // another connection, or lies in our system's buffer for a server that hangs, would come after the op's answer or its
 // client's leaving. To take it back is no cancelling: no server has all of it.
@@ -400,7 +439,10 @@
 	if r.Outcome == policy.Acked && !h.over {
 		e.Counters.Acked++
 		e.end(h)
-		if r.Body.Size > 0 {
+		if answers := e.answers(h); !answers && r.Body.Size > 0 {
+			r.Body.Close()
+		} else if !answers { // its client has its answer
+		} else if r.Body.Size > 0 {
 			h.Reply.Passed(r.Body) // whether it ends well is between cache and client: nothing is pushed anew
 		} else {
 			h.Reply.Acked(r.Value)
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -23,12 +23,18 @@
 		until = h.ttl
 	}
 	s := e.servers[cache]
-	if h.over || h.Request.Left() || h.n > h.most || until <= e.now || s == nil {
+	if h.over || h.Request.Left() || !h.attemptBegins() || h.n > h.most || until <= e.now || s == nil {
 		e.later = append(e.later, func() { e.ended(h, p, Result{Outcome: policy.Moot}) })
 		return
 	}
 	e.Counters.Sent++
+	o := h.Op
+	o.mark(&o.Trace.Begun, time.Now())
+	o.Trace.Attempts.Add(1)
 	p.giveUp = s.Push(&h.Request, e.wall(until), func(r Result) {
+		if r.Outcome == policy.Acked && r.Body.Size == 0 {
+			o.came.Store(&r.Value)
+		}
 		e.queue.put(func() { e.ended(h, p, r) })
 	})
 	e.timers.set(until, func() { e.drop(h, p, policy.TimedOut) })
@@ -78,9 +84,11 @@
 // Nack answers that a retry is safe.
 func (e *Engine) Nack(id uint32, comeBack policy.Time) {
 	if h := e.open(id); h != nil {
-		e.Counters.Nacked++
 		e.end(h)
-		h.Reply.Nacked(time.Duration(max(comeBack, 0)) * unit)
+		if e.answers(h) {
+			e.Counters.Nacked++
+			h.Reply.Nacked(time.Duration(max(comeBack, 0)) * unit)
+		}
 		e.later = append(e.later, func() { e.forget(h) })
 	}
 }
@@ -88,9 +96,11 @@
 // DeadLetter answers with no promise about the op's effect.
 func (e *Engine) DeadLetter(id uint32) {
 	if h := e.open(id); h != nil {
-		e.Counters.DeadLettered++
 		e.end(h)
-		h.Reply.DeadLettered()
+		if e.answers(h) {
+			e.Counters.DeadLettered++
+			h.Reply.DeadLettered()
+		}
 		e.later = append(e.later, func() { e.forget(h) })
 	}
 }
--- a/internal/engine/ids.go
+++ b/internal/engine/ids.go
@@ -10,6 +10,7 @@
 // Why Submit did not take an op.
 var (
 	ErrFull  = errors.New("too much is held")
+	ErrLate  = errors.New("the engine is behind")
 	ErrTwice = errors.New("an op with this id was taken before")
 )
 
--- a/internal/engine/out.go
+++ b/internal/engine/out.go
@@ -109,8 +109,12 @@
 	case <-done:
 		return nil
 	case <-time.After(span / 2):
-		return e.ahead(span/2, func() error { e.handBack(); return nil })
 	}
+	err := e.ahead(span/2, func() error { e.handBack(); return nil })
+	if err != nil {
+		e.Logger.Warn().Int("requests", e.behind.answerAll()).Msg("the engine does not come to its end; what is open was answered without it")
+	}
+	return err
 }
 
 func (e *Engine) handBack() {
--- a/internal/engine/queue.go
+++ b/internal/engine/queue.go
@@ -34,6 +34,16 @@
 	}
 }
 
+// oldest is when the event was put that has waited for longest.
+func (q *queue) oldest() (at time.Time, some bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.events) == 0 {
+		return at, false
+	}
+	return q.events[0].at, true
+}
+
 // take swaps the waiting events for an empty slice.
 func (q *queue) take(empty []event) []event {
 	q.mu.Lock()
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -60,7 +60,11 @@
 	Reply            Replier
 	Over             func() // called on the engine's goroutine once nothing of the request is needed any more; may be nil
 
-	held *op // the engine's record, once it has one
+	Trace Trace // when it came to each of its states
+
+	held     *op // the engine's record, once it has one
+	progress atomic.Uint32
+	came     atomic.Pointer[[]byte] // the value of an attempt's answer, as it came
 }
 
 // Replier takes an op's one final answer. Its methods are called on the engine's goroutine and must not block.
