Pool and list: room for a connection without a walk over all servers; lists of thousands

Each attempt that needed a descriptor walked all pools under the mutex that the engine's goroutine takes for every attempt; a list of over 1 MiB (3,200 entries, indented) was cut and never taken; what was remembered of caches that had left was dropped at 256. Change: idle connections of all pools stand in one order, the oldest first, and the oldest is closed by its own pool's mutex alone; lists up to 4 MiB, a longer one is named; 8,192 caches that left are remembered.

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,7 +1,9 @@
 package discovery
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -518,3 +520,27 @@
 		})
 	}
 }
+
+// Danger: a bound that was made for hundreds of servers cuts the list of thousands, and none is ever taken.
+func TestAListOfThousandsThatComesIndented(t *testing.T) {
+	const servers = 3200
+	var entries []string
+	for n := range servers {
+		entries = append(entries, entry(fmt.Sprintf("s-%08x", n), "active"))
+	}
+	var text bytes.Buffer
+	if err := json.Indent(&text, []byte(list(41, true, entries...)), "", "        "); err != nil {
+		t.Fatal(err)
+	}
+	hold := make(chan bool)
+	defer close(hold)
+	_, tells := agent(t, false, func(n int, _ string) string {
+		if n > 0 {
+			<-hold
+		}
+		return text.String()
+	})
+	if got := hear(t, tells); len(got.members) != servers || got.kind != policy.ListFull {
+		t.Errorf("%d of %d servers taken of a list of %d bytes", len(got.members), servers, text.Len())
+	}
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -38,7 +38,7 @@
 	backOffAt = 100 * time.Millisecond // between two such calls, at most
 	inFull    = 16                     // one of so many is given its whole patience, lest a slow agent is never heard
 
-	longest     = 1 << 20 // a list
+	longest     = 4 << 20 // a list: thousands of entries, of up to a kilobyte each where they come indented
 	longestHead = 16 << 10
 )
 
@@ -290,10 +290,13 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, longest))
+	text, err := io.ReadAll(io.LimitReader(resp.Body, longest+1))
 	if err != nil {
 		return nil, err
 	}
+	if len(text) > longest {
+		return nil, fmt.Errorf("discovery: a list of over %d bytes", longest)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("discovery: %s", resp.Status)
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -524,7 +524,7 @@
 	e.recall()
 }
 
-const mostLeft = 256 // caches that have gone and are remembered
+const mostLeft = 8 << 10 // caches that have gone and are remembered
 
 func (e *Engine) leave(s *server) {
 	if len(e.left) >= mostLeft {
--- a/internal/pool/budget.go
+++ b/internal/pool/budget.go
@@ -19,6 +19,7 @@
 	Written   func() // called for each push that is written whole; nil: nobody counts
 	mu        sync.Mutex
 	pools     map[*Pool]struct{}
+	idle      idleConns
 	open      atomic.Int64
 	Opened    atomic.Int64
 	Reused    atomic.Int64
@@ -63,7 +64,7 @@
 func (s *Shared) take() bool {
 	for s.open.Add(1) > s.Sockets.Load() {
 		s.open.Add(-1)
-		if !s.reclaim() {
+		if !s.idle.closeOldest() {
 			s.Shortages.Add(1)
 			return false
 		}
@@ -71,31 +72,6 @@
 	return true
 }
 
-// reclaim closes the connection that has been idle for longest, at whichever server: else the idle connections
-// to some would keep pushes from others. It returns false if there is none.
-func (s *Shared) reclaim() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var oldest *Pool
-	var since time.Time
-	for p := range s.pools {
-		p.mu.Lock()
-		if len(p.idle) > 0 && (oldest == nil || p.idle[0].since.Before(since)) {
-			oldest, since = p, p.idle[0].since
-		}
-		p.mu.Unlock()
-	}
-	if oldest == nil {
-		return false
-	}
-	oldest.mu.Lock()
-	defer oldest.mu.Unlock()
-	if len(oldest.idle) > 0 { // if it has just been taken, the caller looks again
-		oldest.idle[0].close()
-	}
-	return true
-}
-
 // Release closes all idle connections: nobody will use them.
 func (s *Shared) Release() {
 	for _, p := range s.all() {
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"container/list"
 	"errors"
 	"net"
 	"os"
@@ -22,8 +23,9 @@
 	used    bool   // has served an attempt; the goroutine's
 
 	// Under the pool's mutex.
-	attempt *attempt  // nil: idle, or closed
-	since   time.Time // idle
+	attempt *attempt      // nil: idle, or closed
+	since   time.Time     // idle
+	place   *list.Element // among the idle ones of all pools; nil: it is not idle
 	gone    bool
 }
 
@@ -69,6 +71,7 @@
 		return
 	}
 	c.gone = true
+	c.pool.shared.idle.remove(c)
 	for i, o := range c.pool.idle {
 		if o == c {
 			c.pool.idle = append(c.pool.idle[:i], c.pool.idle[i+1:]...)
@@ -89,6 +92,7 @@
 	}
 	c.since = time.Now()
 	c.pool.idle = append(c.pool.idle, c)
+	c.pool.shared.idle.add(c)
 }
 
 var (
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -80,6 +80,7 @@
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		if c := p.idle[i]; c.since.Before(settled) && c.since.After(fresh) {
 			p.idle = append(p.idle[:i], p.idle[i+1:]...)
+			p.shared.idle.remove(c)
 			c.take(a)
 			p.shared.Reused.Add(1)
 			return
