Logs: what became of each request, where a lost one stood, and why its connection was closed

Cause: the incident's requests could not be followed in our logs: no line says how far a request had come, nor why its connection was closed. A request's wait is fixed as it is submitted, so that the timer that answers while the engine is behind reads nothing that the engine may change. TestACommandThatCrossesMakingWay failed once under -race: it asked for an idle connection between the answer's last byte and the writer's word that it is written; it waits for that now.

--- a/internal/engine/behind.go
+++ b/internal/engine/behind.go
@@ -71,9 +71,12 @@
 	return b.answer(func(o *Op) overload.Action { return overload.AtEnd(o.standing(now)) })
 }
 
+// Left is how long its client still waits, by the client's own word; any goroutine may ask once it is submitted.
+func (o *Op) Left(now time.Time) time.Duration { return o.wait - now.Sub(o.At) }
+
 // standing is how an op stands, for the decision what is done for it.
 func (o *Op) standing(now time.Time) overload.Request {
-	return overload.Request{Waited: overload.Time(now.Sub(o.At)), Left: overload.Time(o.Request.Deadline.Left(now)),
+	return overload.Request{Waited: overload.Time(now.Sub(o.At)), Left: overload.Time(o.Left(now)),
 		Begun: progress(o.progress.Load()) == opBegun, Answered: o.came.Load() != nil}
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -278,6 +278,7 @@
 		e.bytes.Add(-size)
 		return ErrTwice
 	}
+	o.wait = o.Request.Deadline.Left(o.At)
 	o.mark(&o.Trace.Submitted, time.Now())
 	e.unanswered.add(o)
 	e.queue.put(func() { e.arrived(o, size) })
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -62,7 +62,8 @@
 
 	Trace Trace // when it came to each of its states
 
-	held     *op // the engine's record, once it has one
+	wait     time.Duration // of its client, from At on; set as it is submitted
+	held     *op           // the engine's record, once it has one
 	progress atomic.Uint32
 	came     atomic.Pointer[[]byte] // the value of an attempt's answer, as it came
 }
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -35,6 +35,8 @@
 
 var endNames = [ends]string{"served", "refused", "failed"}
 
+func (e End) String() string { return endNames[e] }
+
 // Class counts the ops of one category.
 type Class struct {
 	book *Book
--- a/internal/front/away.go
+++ b/internal/front/away.go
@@ -84,7 +84,7 @@
 		err := away(c.nc)
 		if err == nil {
 			gone()
-			c.drop()
+			c.drop(clientGone)
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -121,22 +121,27 @@
 			c.nc.SetReadDeadline(time.Now().Add(unsentEvery))
 		}
 	}
-	c.drop()
+	c.drop(allAnswered)
 }
 
 // drop closes the connection at once. Ops that are still open have lost their client.
-func (c *conn) drop() {
+func (c *conn) drop(why closeReason) {
 	c.mu.Lock()
-	c.close()
+	c.close(why)
 }
 
 // close is drop with the mutex held; it lets go of that.
-func (c *conn) close() {
+func (c *conn) close(why closeReason) {
 	if c.ended {
 		c.mu.Unlock()
 		return
 	}
 	c.ended = true
+	for _, s := range c.slots {
+		if s.op != nil {
+			c.front.lost(s.op, s.stands(), why)
+		}
+	}
 	c.front.piled.Add(-int64(c.piled))
 	var left []*engine.Op
 	for _, s := range c.slots {
--- a/internal/front/endings_test.go
+++ b/internal/front/endings_test.go
@@ -133,10 +133,8 @@
 		defer f.mu.Unlock()
 		return f.dispensable(time.Now().Add(time.Hour), false)
 	}
-	chosen := choose()
-	if chosen == nil {
-		t.Fatal("none makes way")
-	}
+	var chosen *conn
+	until(t, "idle", func() bool { chosen = choose(); return chosen != nil }) // its answer comes ahead of the writer's word that it is written
 	c.send(get("crossing"))
 	o := wait(t, e.taken)
 	if chosen.makeWay() {
@@ -223,7 +221,7 @@
 	if s.body.Size != 0 || s.body.ReadCloser != nil {
 		t.Error("the value is there already")
 	}
-	c.close() // lets go of the mutex: the client has left first
+	c.close(clientGone) // lets go of the mutex: the client has left first
 	<-passed
 	if _, err := w.Write([]byte("v")); err != io.ErrClosedPipe {
 		t.Errorf("its server's connection waits for nobody: %v", err)
--- a/internal/front/long.go
+++ b/internal/front/long.go
@@ -46,7 +46,7 @@
 		} else if errors.Is(err, errFraming) {
 			c.end(&c.front.malformed, err)
 		} else {
-			c.drop()
+			c.drop(clientGone)
 		}
 		return false
 	}
--- a/internal/front/owed.go
+++ b/internal/front/owed.go
@@ -27,6 +27,14 @@
 	return owesNothing
 }
 
+// stands tells what is owed of one request; the connection's mutex is held.
+func (s *slot) stands() owed {
+	if s.answer != nil {
+		return owesWriting
+	}
+	return owesAnswer
+}
+
 // stopReading says that nothing more is read, and that what was read has its place; the reader calls it, and the mutex is held.
 func (c *conn) stopReading() {
 	c.unread, c.half = true, false
@@ -50,6 +58,9 @@
 		return false
 	}
 	c.evicted = true
+	if !c.heard {
+		c.front.evictedSilent.Add(1)
+	}
 	c.endReading()
 	return true
 }
--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -48,7 +48,7 @@
 			return
 		}
 		if err != nil || !c.got() {
-			c.drop()
+			c.drop(clientGone)
 			return
 		}
 		now, received := time.Now(), c.source.came
@@ -127,7 +127,7 @@
 		return false
 	case !heard:
 		c.front.silent.Add(1)
-		c.drop() // nothing was ever asked on it
+		c.drop(neverAsked)
 		return false
 	case idle:
 		c.front.idle.Add(1)
--- a/internal/front/slot.go
+++ b/internal/front/slot.go
@@ -61,7 +61,7 @@
 	c.mu.Unlock()
 	if slow {
 		c.front.slow.Add(1)
-		go c.drop() // drop tells the engine, on whose goroutine this may be
+		go c.drop(slowReader) // drop tells the engine, on whose goroutine this may be
 		return
 	}
 	if first {
@@ -76,6 +76,13 @@
 	}
 }
 
+// log tells of a request whose answer has been written, or could not be.
+func (s *slot) log(f *Front, err error) {
+	if s.op != nil {
+		f.written(s.op, s.end.String(), err)
+	}
+}
+
 // over books an op's end: once its last byte is written, or as it was lost with its client.
 func (s *slot) over(f *Front, written bool) {
 	if s.class == nil {
--- a/internal/front/writer.go
+++ b/internal/front/writer.go
@@ -16,7 +16,7 @@
 	defer func() {
 		if fault := recover(); fault != nil {
 			c.front.panicked(c, fault)
-			c.drop()
+			c.drop(panicked)
 		}
 	}()
 	var out []byte
@@ -26,7 +26,7 @@
 		n := 0
 		for n < len(c.slots) && c.slots[n].answer != nil && (n == 0 || c.slots[n-1].body.Size == 0) {
 			out = append(out, c.slots[n].answer...)
-			done = append(done, slot{class: c.slots[n].class, end: c.slots[n].end, body: c.slots[n].body})
+			done = append(done, slot{op: c.slots[n].op, class: c.slots[n].class, end: c.slots[n].end, body: c.slots[n].body})
 			n++
 		}
 		c.slots = append(c.slots[:0], c.slots[n:]...)
@@ -38,20 +38,25 @@
 		}
 		if len(out) > 0 {
 			c.nc.SetWriteDeadline(time.Now().Add(slowClient))
+			why := writeFailed
 			_, err := c.nc.Write(out)
 			for _, s := range done {
 				if err == nil && s.body.Size > 0 { // the last of them
 					if err = c.pass(s.body); err != nil {
+						why = valueBroken
 						s.end = figures.Failed
 						s.over(c.front, true)
+						s.log(c.front, err)
 						break
 					}
 				}
 				s.let()
 				s.over(c.front, err == nil)
+				s.log(c.front, err)
 			}
+			clear(done)
 			if done = done[:0]; err != nil {
-				c.drop()
+				c.drop(why)
 				return
 			}
 		}
