Counters: the longest event with its kind, list sizes and times, lag and evictions in the figures

Change: events have kinds; the counters' line and /_vars tell the longest event and its kind, the entries of the last list and the longest time one took, the age of the oldest event, and evictions.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -131,6 +131,9 @@
 	f := &front.Front{Engine: e, Names: front.NewNames(s, book), Book: book,
 		Piled: memory / 8, Long: memory / 4, Log: log, Pulse: beat}
 	shifts.front, shifts.engine = f, e
+	book.Gauge("svc_engine_lag_ms", func() float64 { return e.Lag().Seconds() * 1000 })
+	book.Gauge("svc_engine_longest_event_ms", func() float64 { return float64(book.LongestEvent.Load()) / 1000 })
+	book.Gauge("svc_evicted", func() float64 { return float64(f.Evicted()) })
 	shifts.share = func(other bool) {
 		part := 1
 		if other {
--- a/internal/daemon/shifts.go
+++ b/internal/daemon/shifts.go
@@ -114,7 +114,8 @@
 
 // look takes the figures that only the engine knows, and follows what was said to another process.
 func (s *shifts) look() {
-	s.engine.Glance(func(c policy.Counts, handed int) {
+	s.engine.Glance(func(c policy.Counts, handed int, longest time.Duration) {
+		s.book.LongestEvent.Store(longest.Microseconds())
 		s.book.Handed.Store(int64(handed))
 		s.book.Known.Store(int64(c.Listed))
 		s.book.Out.Store(int64(c.Avoided))
--- a/internal/engine/behind.go
+++ b/internal/engine/behind.go
@@ -118,7 +118,7 @@
 		b.Failed.Add(1)
 		o.Reply.DeadLettered()
 	}
-	b.engine.queue.put(func() { b.engine.settleAnswered(o) })
+	b.engine.queue.put(settleEvent, func() { b.engine.settleAnswered(o) })
 	return true
 }
 
@@ -152,6 +152,9 @@
 	return 0
 }
 
+// Lag is how long the oldest event has waited by now.
+func (e *Engine) Lag() time.Duration { return e.lag(time.Now()) }
+
 // answered notes that an op has its final answer.
 func (e *Engine) answered(o *Op, behind bool) {
 	e.unanswered.remove(o)
--- a/internal/engine/counters.go
+++ b/internal/engine/counters.go
@@ -24,6 +24,10 @@
 	Judged                             policy.Counts
 	Longest                            int // queue length
 	Delay, Stall                       time.Duration
+	LongestEvent                       time.Duration
+	LongestKind                        eventKind
+	ListEntries                        int           // of the last list, the origin among them
+	ListLongest                        time.Duration // that one list took
 }
 
 var outcomeNames = [policy.Miss + 1]string{"acked", "errored", "full", "timed_out", "connect_failed", "broken",
@@ -44,5 +48,7 @@
 	}
 	l.Int("lists", c.Lists).Int("reports", c.Reports).Int("reports_bad", c.ReportsBad).
 		Int("probes", c.Probes).Int("probes_untold", c.ProbesUntold).Int("queue_longest", c.Longest).
+		Float64("longest_event_ms", c.LongestEvent.Seconds()*1000).Stringer("longest_event", c.LongestKind).
+		Int("list_entries", c.ListEntries).Float64("list_longest_ms", c.ListLongest.Seconds()*1000).
 		Float64("queue_delay_ms", c.Delay.Seconds()*1000).Float64("stall_ms", c.Stall.Seconds()*1000)
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -189,7 +189,7 @@
 		e.handling(ev.at)
 		e.first()
 		e.Counters.Delay = max(e.Counters.Delay, time.Since(ev.at))
-		e.handle(ev.do)
+		e.handle(ev.kind, ev.do)
 		events[i] = event{}
 		e.fire()
 	}
@@ -215,7 +215,7 @@
 
 func (e *Engine) fire() {
 	for do := e.timers.due(e.read()); do != nil; do = e.timers.due(e.now) {
-		e.handle(do)
+		e.handle(timerEvent, do)
 	}
 }
 
@@ -229,10 +229,13 @@
 // wall is the first moment at which the clock shows t.
 func (e *Engine) wall(t policy.Time) time.Time { return e.origin.Add(time.Duration(t-e.offset) * unit) }
 
-func (e *Engine) handle(do func()) {
-	e.read()
+func (e *Engine) handle(kind eventKind, do func()) {
+	from := e.origin.Add(time.Duration(e.read()-e.offset) * unit)
 	do()
 	e.settle()
+	if took := time.Since(from); took > e.Counters.LongestEvent {
+		e.Counters.LongestEvent, e.Counters.LongestKind = took, kind
+	}
 }
 
 func (e *Engine) settle() {
@@ -246,13 +249,13 @@
 // first runs what operators ask for: ahead of every other event, as its answer is owed under any load.
 func (e *Engine) first() {
 	for _, do := range e.queue.takeFirst() {
-		e.handle(do)
+		e.handle(callEvent, do)
 	}
 }
 
 // Do runs f on the engine's goroutine.
 func (e *Engine) Do(f func(*Engine)) {
-	e.queue.put(func() {
+	e.queue.put(callEvent, func() {
 		e.Counters.Judged = e.module.Judged()
 		f(e)
 	})
@@ -281,14 +284,14 @@
 	o.wait = o.Request.Deadline.Left(o.At)
 	o.mark(&o.Trace.Submitted, time.Now())
 	e.unanswered.add(o)
-	e.queue.put(func() { e.arrived(o, size) })
+	e.queue.put(requestEvent, func() { e.arrived(o, size) })
 	return nil
 }
 
 // Leave tells that an op's client has gone away. It may come ahead of the op's own Submit.
 func (e *Engine) Leave(o *Op) {
 	o.Request.Leave()
-	e.queue.put(func() {
+	e.queue.put(leaveEvent, func() {
 		e.unanswered.remove(o)
 		if h := o.held; h != nil && !h.over {
 			e.Counters.Left++
@@ -465,7 +468,11 @@
 
 // List tells what discovery has said. It may be called from any goroutine.
 func (e *Engine) List(kind policy.ListKind, members []Member) {
-	e.queue.put(func() { e.list(kind, members) })
+	e.queue.put(listEvent, func() {
+		from := time.Now()
+		e.list(kind, members)
+		e.Counters.ListLongest, e.Counters.ListEntries = max(e.Counters.ListLongest, time.Since(from)), len(e.servers)
+	})
 }
 
 func (e *Engine) list(kind policy.ListKind, members []Member) {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -510,7 +510,7 @@
 	}
 	next, _ := play(t, func(o *Options) { o.Memory = &given })
 	sum := func(e *Engine) (sent float64) {
-		e.Glance(func(policy.Counts, int) {})
+		e.Glance(func(policy.Counts, int, time.Duration) {})
 		done := make(chan struct{})
 		e.Do(func(e *Engine) {
 			for id := range e.servers {
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -35,7 +35,7 @@
 		if r.Outcome == policy.Acked && r.Body.Size == 0 {
 			o.came.Store(&r.Value)
 		}
-		e.queue.put(func() { e.ended(h, p, r) })
+		e.queue.put(answerEvent, func() { e.ended(h, p, r) })
 	})
 	e.timers.set(until, func() { e.drop(h, p, policy.TimedOut) })
 	if h.window > 0 && h.ran > 0 {
@@ -144,7 +144,7 @@
 		}
 		e.module.Probed(cache, told, r.Waiting, r.Rate)
 	}
-	giveUp := s.Push(&Request{Probe: true}, e.wall(until), func(r Result) { e.queue.put(func() { end(r) }) })
+	giveUp := s.Push(&Request{Probe: true}, e.wall(until), func(r Result) { e.queue.put(probeEvent, func() { end(r) }) })
 	s.unprobe = func() {
 		if !over && giveUp(Unwritten) {
 			end(Result{Outcome: policy.Moot})
--- a/internal/engine/out.go
+++ b/internal/engine/out.go
@@ -104,7 +104,7 @@
 func (e *Engine) HandBack(span time.Duration) error {
 	e.ending.Store(true)
 	done := make(chan struct{})
-	e.queue.put(func() { e.handBack(); close(done) })
+	e.queue.put(callEvent, func() { e.handBack(); close(done) })
 	select {
 	case <-done:
 		return nil
@@ -127,7 +127,7 @@
 }
 
 // Glance runs f on the engine's goroutine ahead of all that waits; handed are the caches that are out with their site.
-func (e *Engine) Glance(f func(of policy.Counts, handed int)) {
+func (e *Engine) Glance(f func(of policy.Counts, handed int, longest time.Duration)) {
 	e.queue.putFirst(func() {
 		handed := 0
 		for _, s := range e.servers {
@@ -135,7 +135,7 @@
 				handed++
 			}
 		}
-		f(e.module.Judged(), handed)
+		f(e.module.Judged(), handed, e.Counters.LongestEvent)
 	})
 }
 
--- a/internal/engine/queue.go
+++ b/internal/engine/queue.go
@@ -6,9 +6,29 @@
 	"time"
 )
 
+// eventKind is what an event is about.
+type eventKind uint8
+
+const (
+	requestEvent eventKind = iota
+	answerEvent
+	leaveEvent
+	listEvent
+	probeEvent
+	callEvent // of an operator, or the daemon
+	settleEvent
+	timerEvent
+	eventKinds
+)
+
+var eventNames = [eventKinds]string{"request", "answer", "client left", "list", "probe", "call", "settle", "timer"}
+
+func (k eventKind) String() string { return eventNames[k] }
+
 type event struct {
-	at time.Time
-	do func()
+	at   time.Time
+	kind eventKind
+	do   func()
 }
 
 // queue is the one way to the engine. Putting never blocks: what a front may hold is bounded before it puts,
@@ -21,9 +41,9 @@
 	wake   chan struct{}
 }
 
-func (q *queue) put(do func()) {
+func (q *queue) put(kind eventKind, do func()) {
 	q.mu.Lock()
-	q.events = append(q.events, event{time.Now(), do})
+	q.events = append(q.events, event{time.Now(), kind, do})
 	first := len(q.events) == 1
 	q.mu.Unlock()
 	if first {
--- a/internal/engine/settings_test.go
+++ b/internal/engine/settings_test.go
@@ -130,7 +130,7 @@
 	turn := func(span time.Duration) {
 		e.origin = e.origin.Add(-span) // the clock goes on
 		for _, ev := range e.queue.take(nil) {
-			e.handle(ev.do)
+			e.handle(ev.kind, ev.do)
 		}
 		e.fire()
 		for _, done := range s.due {
@@ -138,7 +138,7 @@
 		}
 		s.due = nil
 		for _, ev := range e.queue.take(nil) {
-			e.handle(ev.do)
+			e.handle(ev.kind, ev.do)
 		}
 	}
 	const many = 200
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -20,6 +20,7 @@
 	Attempts                 *metrics.Counter // pushes written whole
 	ReloadsOK, ReloadsFailed *metrics.Counter
 	InFlight, Known, Out     atomic.Int64 // ops taken and not ended; caches in the list; those of them that are avoided
+	LongestEvent             atomic.Int64 // of the engine, in microseconds
 	Sites, Handed            atomic.Int64 // sites that operators have taken out; caches out with them by now
 }
 
@@ -62,6 +63,9 @@
 	return b
 }
 
+// Gauge adds a figure that is worked out as it is asked for.
+func (b *Book) Gauge(name string, value func() float64) { b.set.NewGauge(name, value) }
+
 // Class is the page of one category. One that was dropped, and comes back, goes on counting where it stood.
 func (b *Book) Class(name string) *Class {
 	b.mu.Lock()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -272,6 +272,9 @@
 	return len(f.conns)
 }
 
+// Evicted is the number of connections that made way for others.
+func (f *Front) Evicted() int64 { return f.evicted.Load() }
+
 // MarshalZerologObject writes the counters into a log line.
 func (f *Front) MarshalZerologObject(l *zerolog.Event) {
 	l.Int("open", f.Open()).Int64("accepted", f.accepted.Load()).Int64("acked", f.Book.Sum(figures.Served)).
