Front: a request on a new connection is answered, read or not; without room it is refused

One was the longest silent connection and made way, though its request stood unread: its reader had not run yet. One found no room for 100 ms and was closed. Change: a connection on which nothing was ever read does not make way while something stands unread, and whoever ends, its reader looks once more first; with no room and none that makes way, up to a sixteenth more connections are held, and what is asked on them gets -BUSY. Admission has a file of its own.

--- a/internal/front/away.go
+++ b/internal/front/away.go
@@ -32,6 +32,24 @@
 	})
 }
 
+// pending tells whether something has come on a connection that has not been read, the client's end among it.
+func pending(nc net.Conn) (some bool) {
+	socket, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(p, 0)
+		some = err == nil && n > 0
+	})
+	return some
+}
+
 // unsent tells whether our system still has bytes that the client's has not said to have: to close would lose them.
 func unsent(nc net.Conn) (some bool) {
 	socket, ok := nc.(syscall.Conn)
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -29,6 +29,8 @@
 	born  time.Time
 	place float64 // 0 to 1: when it ends among others that are not used
 
+	overflow bool // there is no room for it: what is asked on it is refused
+
 	// The reader's.
 	source  *source
 	buf     buffer.Buffer
@@ -53,6 +55,7 @@
 	unread    bool // the reader has stopped: no further command is taken
 	writing   bool // answers that have left slots are being written
 	evicted   bool // it ends to make way for another
+	looked    bool // the reader has looked once more, as the connection is to end, for what had come unread
 	ended     bool
 
 	stopped chan struct{} // closed once the reader is done with the connection
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -5,7 +5,6 @@
 import (
 	"errors"
 	"maps"
-	"math"
 	"net"
 	"runtime/debug"
 	"slices"
@@ -114,98 +113,7 @@
 	}
 }
 
-const (
-	fresh   = 25 * time.Millisecond  // a client that has just connected, or been answered, is about to send
-	patient = 100 * time.Millisecond // for a descriptor to become free
-
-	changeWait = 5 * time.Millisecond // for a connection to end, until the next look
-
-	longRoom = 2 * time.Second
-)
-
-// admit takes a new connection in, which was not there at a moment. Where there is no room, another makes way at once: whoever waited for that in turn
-// would be served too late, would come again, and find a longer queue.
-func (f *Front) admit(nc net.Conn, since time.Time) {
-	for late := time.Now().Add(patient); ; {
-		f.mu.Lock()
-		most := int(f.Conns.Load())
-		room := len(f.conns) < most
-		var old, c *conn
-		if len(f.conns) >= most/2 {
-			old = f.dispensable(time.Now().Add(-fresh), room)
-		}
-		if room {
-			c = newConn(f, nc, since)
-			_, c.place = math.Modf(float64(f.accepted.Load()) * golden)
-			f.conns[c] = struct{}{}
-		}
-		f.mu.Unlock()
-		if old != nil && old.makeWay() {
-			// If a command crosses this unread, its client sends it again; one that was read is answered first.
-			f.evicted.Add(1)
-		}
-		if room {
-			go c.read()
-			go c.write()
-			return
-		}
-		if time.Now().After(late) {
-			f.crowded.Add(1)
-			nc.Close()
-			return
-		}
-		select {
-		case <-f.changed:
-		case <-time.After(changeWait):
-		}
-	}
-}
-
-// dispensable finds the connection that makes way; never one with an op open or half a command read. First come those
-// that have never sent a command, the oldest ahead, and those that have had their last answer; then the one idle for
-// longest. Those that have only just come are given a moment to speak, unless they are more than a third: silent ones
-// come by hundreds, good ones among them. While there is room, one makes way only where those that have asked, and idle,
-// are more than half: clients have connections to lose, too, and would hold too many to make new ones.
-func (f *Front) dispensable(before time.Time, room bool) *conn {
-	var silent, idle, done *conn
-	unheard, quiet, most := 0, 0, int(f.Conns.Load())
-	leaving := false // one makes way already
-	for c := range f.conns {
-		c.mu.Lock()
-		leaving = leaving || c.evicted && c.owes() == owesNothing
-		switch {
-		case c.last:
-			if c.used.Before(before) {
-				done = c
-			}
-		case c.ending || c.owes() != owesNothing:
-		case !c.heard:
-			unheard++
-			if silent == nil || c.born.Before(silent.born) {
-				silent = c
-			}
-		case c.used.Before(before):
-			quiet++
-			if idle == nil || c.used.Before(idle.used) {
-				idle = c
-			}
-		}
-		c.mu.Unlock()
-	}
-	switch {
-	case leaving || room && quiet < most/2:
-		return nil
-	case room:
-		return idle
-	case silent != nil && (silent.born.Before(before) || unheard > most/3):
-		return silent
-	case done != nil:
-		return done
-	case idle != nil:
-		return idle
-	}
-	return silent
-}
+const longRoom = 2 * time.Second // for a long value's bytes
 
 func (f *Front) remove(c *conn) {
 	f.mu.Lock()
--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -76,7 +76,7 @@
 			c.buf.Take(n)
 			c.began = time.Time{}
 		}
-		if c.refused >= mostRefused {
+		if c.refused >= mostRefused || c.overflow && c.heard {
 			c.front.hopeless.Add(1)
 			c.stop()
 			return
@@ -159,6 +159,10 @@
 	c.half = len(c.buf.Bytes()) > 0
 	until := time.Now().Add(idleClient)
 	switch {
+	case c.ending && !c.half && !c.heard && !c.looked && pending(c.nc):
+		// Danger: nothing was ever read on it, so its client can't take what it has sent for a crossing between two requests.
+		c.looked = true
+		until = time.Now().Add(fresh)
 	case c.ending && (!c.half || c.grace):
 		c.stopReading() // of half a command the rest has not come: it is no request
 		return false
@@ -168,6 +172,8 @@
 		until = time.Now().Add(halfAtEnd)
 	case c.half:
 		until = c.began.Add(halfCommand)
+	case !c.heard && c.overflow:
+		until = c.born.Add(overflowWord)
 	case !c.heard:
 		until = c.born.Add(firstWord)
 	case len(c.slots) == 0:
@@ -218,7 +224,7 @@
 		}
 	}()
 	name := strings.ToUpper(string(words[0][:min(len(words[0]), 32)]))
-	if c.refused >= mostRefused {
+	if c.refused >= mostRefused || c.overflow && name != "PING" {
 		return c.refuseRest(name)
 	}
 	switch name {
@@ -264,7 +270,8 @@
 	return c.bad(&c.front.malformed, errors.New("unknown command '"+name+"'"))
 }
 
-// refuseRest takes a command that was read with bad ones, on a connection that ends for those: a request gets its answer all the same.
+// refuseRest takes a command on a connection that ends, as there is no room for it or for the bad ones that were read with it: a request gets its
+// answer all the same.
 func (c *conn) refuseRest(name string) bool {
 	if name != "CACHE.GET" && name != "CACHE.SET" {
 		return true
