--- a/lab/report/report.go
+++ b/lab/report/report.go
@@ -36,6 +36,7 @@
 	Vars           map[string]int64 `json:"vars,omitempty"`  // what the proxies that run at the end count of themselves, summed
 	ClientsRefused int64            `json:"clients_refused"` // connections of clients, by proxies
 	Fetches        int64            `json:"origin_fetches"`
+	ListBytes      int64            `json:"list_bytes"` // of lists, written to all proxies
 }
 
 // Status is the exit status that a run earns.
@@ -118,8 +119,8 @@
 	for _, p := range append(append([]measure.Part{f.All}, f.Categories...), f.Tenants...) {
 		fmt.Fprintf(&b, "%-20s %8d %9.4f %9.1f %9.1f %9.1f %9.1f\n", p.Name, p.Ops, p.Service, p.P50, p.P90, p.P99, p.Max)
 	}
-	fmt.Fprintf(&b, "proxies: %.2f CPU seconds, %.0f MB and %d descriptors at most in one; client connections opened %d, refused %d; refused by caches %d\n",
-		r.Peak.CPU, r.Peak.MemoryMB, r.Peak.Descriptors, r.Opened, r.ClientsRefused, r.Refused)
+	fmt.Fprintf(&b, "proxies: %.2f CPU seconds, %.0f MB and %d descriptors at most in one; client connections opened %d, refused %d; refused by caches %d; %d KB of lists\n",
+		r.Peak.CPU, r.Peak.MemoryMB, r.Peak.Descriptors, r.Opened, r.ClientsRefused, r.Refused, r.ListBytes>>10)
 	fmt.Fprintf(&b, "lab: %.2f%% sent within 5 ms of their time, half within %.2f ms, 99%% within %.2f ms; %.2f%% of the stand-ins' work over 5 ms late\n",
 		100*f.LateIn5, f.LateP50, f.LateP99, 100*r.Stalled)
 	if v := r.Verdict; v != nil {
--- a/lab/run/run.go
+++ b/lab/run/run.go
@@ -97,7 +97,7 @@
 	w.Close()
 	records, err := book.Close()
 	r := &report.Result{Name: x.Name, About: x.About, Seed: x.Seed, Rule: o.Rule, Figures: meter.Done(), Records: records, Peak: peak,
-		Length: x.Length.D().Seconds(), Warm: x.Warm.D().Seconds(), Opened: front.Opened.Load(), Vars: vars, ClientsRefused: front.Refused.Load(), Fetches: w.Origin.Fetches.Load()}
+		Length: x.Length.D().Seconds(), Warm: x.Warm.D().Seconds(), Opened: front.Opened.Load(), Vars: vars, ClientsRefused: front.Refused.Load(), Fetches: w.Origin.Fetches.Load(), ListBytes: w.Reg.Bytes.Load()}
 	if err != nil {
 		r.Void = append(r.Void, "the ledger's disk: "+err.Error())
 	}
--- a/lab/world/registry.go
+++ b/lab/world/registry.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"minttray/lab/ledger"
@@ -17,6 +19,8 @@
 
 // Registry is what the list of caches says, and when each proxy's agent has it.
 type Registry struct {
+	Bytes atomic.Int64 // of lists, written to all proxies
+
 	w      *World
 	mu     sync.Mutex
 	agents []*Agent
@@ -281,7 +285,7 @@
 			}
 			a.tell()
 			a.mu.Unlock()
-			json.NewEncoder(out).Encode(doc)
+			a.send(out, doc)
 			return
 		}
 		a.mu.Unlock()
@@ -294,12 +298,19 @@
 				<-r.Context().Done()
 				return
 			}
-			json.NewEncoder(out).Encode(map[string]any{"generation": version, "reset": false, "instances": []instance{}})
+			a.send(out, map[string]any{"generation": version, "reset": false, "instances": []instance{}})
 			return
 		}
 	}
 }
 
+// send writes a document, and counts its bytes.
+func (a *Agent) send(out io.Writer, doc map[string]any) {
+	text, _ := json.Marshal(doc) // maps and structs of plain fields
+	a.reg.Bytes.Add(int64(len(text)))
+	out.Write(text)
+}
+
 // tell books what this answer says of each server, where it says something new.
 func (a *Agent) tell() {
 	for n, e := range a.entries {
