Lab: one fault at a time ends a process; the plan of worth knows the module's files

The patches of lab/worth named texts that stand in other files now. Change: a fault that finds a proxy on its way from another passes it over; the plan lists its files, and an edit's text stands in all of them exactly once; the test beats as the engine does.

--- a/internal/front/away.go
+++ b/internal/front/away.go
@@ -32,8 +32,8 @@
 	})
 }
 
-// pending tells whether something has come on a connection that has not been read, the client's end among it.
-func pending(nc net.Conn) (some bool) {
+// ofSocket asks something of a connection's socket; no of one that is none.
+func ofSocket(nc net.Conn, ask func(fd int) bool) (yes bool) {
 	socket, ok := nc.(syscall.Conn)
 	if !ok {
 		return false
@@ -42,29 +42,25 @@
 	if err != nil {
 		return false
 	}
-	raw.Control(func(fd uintptr) {
+	raw.Control(func(fd uintptr) { yes = ask(int(fd)) })
+	return yes
+}
+
+// pending tells whether something has come on a connection that has not been read, the client's end among it.
+func pending(nc net.Conn) bool {
+	return ofSocket(nc, func(fd int) bool {
 		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
 		n, err := unix.Poll(p, 0)
-		some = err == nil && n > 0
+		return err == nil && n > 0
 	})
-	return some
 }
 
 // unsent tells whether our system still has bytes that the client's has not said to have: to close would lose them.
-func unsent(nc net.Conn) (some bool) {
-	socket, ok := nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	raw.Control(func(fd uintptr) {
-		n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
-		some = err == nil && n > 0
+func unsent(nc net.Conn) bool {
+	return ofSocket(nc, func(fd int) bool {
+		n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+		return err == nil && n > 0
 	})
-	return some
 }
 
 var passed = time.Unix(1, 0) // as a deadline it ends a wait
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -57,6 +57,7 @@
 	// Why connections were ended.
 	slow, silent, halves, idle, evicted, crowded, hopeless atomic.Int64
 	evictedSilent                                          atomic.Int64 // of those evicted: nothing was ever asked on them
+	overflowed                                             atomic.Int64 // there was no room: what was asked was refused
 
 	late warnings
 }
@@ -190,6 +191,6 @@
 		Int64("turned_away", f.full.Load()).Int64("twice", f.twice.Load()).Int64("malformed", f.malformed.Load()).
 		Int64("panics", f.panics.Load()).Int64("slow", f.slow.Load()).Int64("silent", f.silent.Load()).
 		Int64("half", f.halves.Load()).Int64("idle", f.idle.Load()).Int64("evicted", f.evicted.Load()).
-		Int64("evicted_silent", f.evictedSilent.Load()).Int64("warnings_dropped", f.late.dropped.Load()).
+		Int64("evicted_silent", f.evictedSilent.Load()).Int64("overflowed", f.overflowed.Load()).Int64("warnings_dropped", f.late.dropped.Load()).
 		Int64("crowded", f.crowded.Load()).Int64("hopeless", f.hopeless.Load()).Int64("cut_off", f.cutOff.Load())
 }
--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -76,11 +76,16 @@
 			c.buf.Take(n)
 			c.began = time.Time{}
 		}
-		if c.refused >= mostRefused || c.overflow && c.heard {
+		if c.refused >= mostRefused {
 			c.front.hopeless.Add(1)
 			c.stop()
 			return
 		}
+		if c.overflow && c.heard {
+			c.front.overflowed.Add(1)
+			c.stop()
+			return
+		}
 		if len(c.buf.Bytes()) == 0 {
 			c.began = time.Time{}
 		} else if c.began.IsZero() {
--- a/internal/front/received_test.go
+++ b/internal/front/received_test.go
@@ -115,7 +115,9 @@
 	c := dial(t, f)
 	c.send(words("PING"))
 	c.want("+PONG")
-	time.Sleep(keptFor) // the reader waits by now
+	for until := time.Now().Add(keptFor); time.Now().Before(until); time.Sleep(pulse.Every / 4) { // the reader waits by now
+		beat.Beat(time.Now())
+	}
 	last := time.Now()
 	beat.Beat(last)
 	time.Sleep(keptFor)
--- a/lab/faults/faults.go
+++ b/lab/faults/faults.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,11 +46,12 @@
 	wait   sync.WaitGroup
 	stop   <-chan struct{}
 	from   time.Duration
+	busy   []sync.Mutex // by proxy: held while a fault ends its process and brings it back
 }
 
 // New makes one; times count from a moment of the run's clock.
 func New(w *world.World, fleet Fleet, from time.Duration, stop <-chan struct{}) *Player {
-	return &Player{w: w, fleet: fleet, from: from, stop: stop}
+	return &Player{w: w, fleet: fleet, from: from, stop: stop, busy: make([]sync.Mutex, fleet.Count())}
 }
 
 // Run plays all faults and returns when the last is over.
@@ -356,7 +358,6 @@
 	n, batch := p.fleet.Count(), max(int(f.Batch*float64(p.fleet.Count())+0.5), 1)
 	ways := []string{"term", "kill", "upgrade"}
 	var wait sync.WaitGroup
-	busy := make([]sync.Mutex, n)
 	for at, until := 0, time.Now().Add(f.For.D()); time.Now().Before(until); {
 		for range batch {
 			i, way := at%n, f.By
@@ -364,13 +365,13 @@
 				way = ways[(at+at/n)%len(ways)] // each proxy comes by each of them in its turns
 			}
 			at++
-			if !busy[i].TryLock() { // it is still on its way from its last turn
+			if !p.busy[i].TryLock() { // it is still on its way from its last turn
 				continue
 			}
 			wait.Add(1)
 			go func() {
 				defer wait.Done()
-				defer busy[i].Unlock()
+				defer p.busy[i].Unlock()
 				switch way {
 				case "upgrade":
 					p.failed(p.fleet.Upgrade(i))
@@ -417,6 +418,8 @@
 	for len(some) > 0 {
 		wave := some[:min(batch, len(some))]
 		some = some[len(wave):]
+		// Danger: two faults that end one process would have the second's SIGKILL taken for the first's, and start it twice.
+		wave = slices.DeleteFunc(slices.Clone(wave), func(i int) bool { return !p.busy[i].TryLock() })
 		var ended sync.WaitGroup
 		for _, i := range wave {
 			ended.Add(1)
@@ -435,13 +438,15 @@
 			}()
 		}
 		ended.Wait()
-		if !p.sleep(f.Down.D()) {
-			return
-		}
+		goesOn := p.sleep(f.Down.D())
 		for _, i := range wave {
-			if f.Kind != "proxy-upgrade" {
+			if f.Kind != "proxy-upgrade" && goesOn {
 				p.failed(p.fleet.Start(i))
 			}
+			p.busy[i].Unlock()
+		}
+		if !goesOn {
+			return
 		}
 	}
 	p.say(f.Kind + " is over")
--- a/lab/worth/worth.go
+++ b/lab/worth/worth.go
@@ -4,8 +4,10 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -18,7 +20,7 @@
 
 // Plan is a file of patches.
 type Plan struct {
-	File    string    `toml:"file"` // the source that is patched, from the repository's root
+	Files   []string  `toml:"files"` // the sources that are patched, from the repository's root
 	Without []Without `toml:"without"`
 }
 
@@ -28,7 +30,7 @@
 	Edit []Edit `toml:"edit"`
 }
 
-// Edit puts one text in another's place; that has to stand in the source exactly once.
+// Edit puts one text in another's place; that has to stand in all sources exactly once.
 type Edit struct {
 	Find string `toml:"find"`
 	Put  string `toml:"put"`
@@ -44,21 +46,52 @@
 	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(p); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	if p.File == "" || len(p.Without) == 0 {
-		return nil, fmt.Errorf("%s: file or without is missing", path)
+	if len(p.Files) == 0 || len(p.Without) == 0 {
+		return nil, fmt.Errorf("%s: files or without is missing", path)
 	}
 	return p, nil
 }
 
-// Apply patches a text.
-func (w Without) Apply(text string) (string, error) {
+// Sources are the texts of files, by their names.
+type Sources map[string]string
+
+// ReadSources reads files below a directory.
+func ReadSources(dir string, files []string) (Sources, error) {
+	all := Sources{}
+	for _, name := range files {
+		text, err := os.ReadFile(filepath.Join(dir, name))
+		if err != nil {
+			return nil, err
+		}
+		all[name] = string(text)
+	}
+	return all, nil
+}
+
+// Write puts all texts into their files below a directory.
+func (s Sources) Write(dir string) (err error) {
+	for name, text := range s {
+		err = errors.Join(err, os.WriteFile(filepath.Join(dir, name), []byte(text), 0o644))
+	}
+	return err
+}
+
+// Apply gives the sources with the mechanism taken out.
+func (w Without) Apply(all Sources) (Sources, error) {
+	all = maps.Clone(all)
 	for i, e := range w.Edit {
-		if n := strings.Count(text, e.Find); e.Find == "" || n != 1 {
-			return "", fmt.Errorf("%s: edit %d: its text stands in the source %d times, not once", w.Name, i+1, n)
+		n, in := 0, ""
+		for name, text := range all {
+			if found := strings.Count(text, e.Find); found > 0 {
+				n, in = n+found, name
+			}
 		}
-		text = strings.Replace(text, e.Find, e.Put, 1)
+		if e.Find == "" || n != 1 {
+			return nil, fmt.Errorf("%s: edit %d: its text stands in the sources %d times, not once", w.Name, i+1, n)
+		}
+		all[in] = strings.Replace(all[in], e.Find, e.Put, 1)
 	}
-	return text, nil
+	return all, nil
 }
 
 var estimate = regexp.MustCompile(`estimate on the standard days of \S+ \([^)]*\): (-?[0-9.]+)`)
@@ -73,20 +106,16 @@
 	return strconv.ParseFloat(string(found[1]), 64)
 }
 
-// Run scores the sources as they stand and then without each mechanism, a row each. The file is put back after each,
+// Run scores the sources as they stand and then without each mechanism, a row each. The files are put back at the end,
 // and also when stop closes.
 func (p *Plan) Run(out io.Writer, bench string, sites []string, stop <-chan struct{}) (err error) {
-	kept, err := os.ReadFile(p.File)
+	kept, err := ReadSources("", p.Files)
 	if err != nil {
 		return err
 	}
-	defer func() {
-		if back := os.WriteFile(p.File, kept, 0o644); err == nil {
-			err = back
-		}
-	}()
+	defer func() { err = errors.Join(err, kept.Write("")) }()
 	for _, w := range p.Without { // all are tried before the first is played
-		if _, err := w.Apply(string(kept)); err != nil {
+		if _, err := w.Apply(kept); err != nil {
 			return err
 		}
 	}
@@ -96,8 +125,8 @@
 	}
 	fmt.Fprintf(out, "\n| --- |%s\n", strings.Repeat(" --- |", len(sites)))
 	for _, w := range append([]Without{{Name: "nothing"}}, p.Without...) {
-		text, _ := w.Apply(string(kept))
-		if err := os.WriteFile(p.File, []byte(text), 0o644); err != nil {
+		changed, _ := w.Apply(kept)
+		if err := changed.Write(""); err != nil {
 			return err
 		}
 		fmt.Fprintf(out, "| %s |", w.Name)
--- a/lab/worth/worth_test.go
+++ b/lab/worth/worth_test.go
@@ -13,7 +13,7 @@
 	source, bench := filepath.Join(dir, "m.go"), filepath.Join(dir, "bench")
 	os.WriteFile(source, []byte("a := 1\nb := 1\n"), 0o644)
 	os.WriteFile(bench, []byte("#!/bin/sh\nn=$(grep -c ':= 1' "+source+")\necho \"quick estimate on the standard days of x (set 1): 0.${n}00, +0.1 against\"\n"), 0o755)
-	p := &Plan{File: source, Without: []Without{{"a", []Edit{{"a := 1", "a := 0"}}}, {"both", []Edit{{"a := 1", "a := 0"}, {"b := 1", "b := 0"}}}}}
+	p := &Plan{Files: []string{source}, Without: []Without{{"a", []Edit{{"a := 1", "a := 0"}}}, {"both", []Edit{{"a := 1", "a := 0"}, {"b := 1", "b := 0"}}}}}
 	var out strings.Builder
 	if err := p.Run(&out, bench, []string{"x.toml"}, nil); err != nil {
 		t.Fatal(err)
@@ -37,12 +37,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	text, err := os.ReadFile("../../" + p.File)
+	all, err := ReadSources("../..", p.Files)
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, w := range p.Without {
-		if _, err := w.Apply(string(text)); err != nil {
+		if _, err := w.Apply(all); err != nil {
 			t.Error(err)
 		}
 	}
