Front: what was read behind a stall counts from when our system received it

The mend of (a stall right behind another is one with it) is taken back, its test with it: where a process is run for a tenth of the time, as by a quota of its machine, stalls follow each other without an end, and every request would be taken for one of seconds before. Change: where the pulse tells of a stall, the moment is asked of our system (TCP_INFO, the last data received) ahead of the read, 10 ms earlier for its grain; where that is not to be had, the pulse decides as before. TestTheTimeOfACommandThatCameInAStallRunsOn plays on a Unix socket, for which there is no such time, with its exact bound; TestSince is as it was.

--- a/internal/front/source.go
+++ b/internal/front/source.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"minttray/internal/pulse"
 )
 
@@ -25,6 +27,7 @@
 	n       int
 	err     error
 	waited  bool
+	arrived time.Time // it had not come by then, if the reader waited for it
 	attempt func(fd uintptr) (done bool)
 }
 
@@ -53,8 +56,7 @@
 	}
 	s.came = s.known
 	if s.waited {
-		// It came while the reader waited, and whoever waits is woken at once, unless the process was not run.
-		s.came = later(s.pulse.Since(time.Now()), s.known)
+		s.came = later(s.arrived, s.known)
 	}
 	switch {
 	case s.err != nil:
@@ -69,6 +71,9 @@
 func (s *source) readOnce(fd uintptr) (done bool) {
 	for {
 		before := time.Now()
+		if s.waited {
+			s.arrived = s.arrival(fd, before)
+		}
 		s.n, s.err = syscall.Read(int(fd), s.into)
 		switch {
 		case errors.Is(s.err, syscall.EINTR):
@@ -85,6 +90,23 @@
 	}
 }
 
+// arrival is a moment at which what a reader has waited for had not come. Whoever waits is woken at once, unless the process was not run: then our
+// system knows when it last received something. Asked ahead of the read: what comes in between is taken for older than it is, never for newer.
+func (s *source) arrival(fd uintptr, now time.Time) time.Time {
+	since := s.pulse.Since(now)
+	if !since.Before(now) {
+		return now
+	}
+	info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return since
+	}
+	return now.Add(-time.Duration(info.Last_data_recv)*time.Millisecond - receiveGrain)
+}
+
+// receiveGrain is how coarsely the system keeps the time of what it received.
+const receiveGrain = 10 * time.Millisecond
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/pulse/pulse.go
+++ b/internal/pulse/pulse.go
@@ -35,7 +35,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if now.Sub(p.last) > tolerated {
-		p.stalled, p.recovered = p.begin(), now
+		p.stalled, p.recovered = p.last, now
 	}
 	p.last = now
 }
@@ -50,18 +50,9 @@
 	defer p.mu.Unlock()
 	switch {
 	case now.Sub(p.last) > tolerated:
-		return p.begin()
+		return p.last
 	case !p.recovered.IsZero() && now.Sub(p.recovered) < recovery:
 		return p.stalled
 	}
 	return now
 }
-
-// begin is when the stall began that followed the last beat. Danger: what came in the stall before may still wait as the next one begins; then both
-// are one.
-func (p *Pulse) begin() time.Time {
-	if !p.recovered.IsZero() && p.last.Sub(p.recovered) < recovery {
-		return p.stalled
-	}
-	return p.last
-}
