Lab: worlds beside each other have addresses of their own; a cache whose port is taken gets another

Experiments that tests play beside each other used the same addresses, and one took another's port while a cache was down between two releases. Change: each world has one of eight blocks of the loopback range (caches, agents, origin, proxies, calls); a cache that comes back and finds its port taken listens at another, which the list tells.

--- a/lab/run/fleet.go
+++ b/lab/run/fleet.go
@@ -71,7 +71,7 @@
 		if err != nil {
 			return f, err
 		}
-		addr, err := world.Free(fmt.Sprintf("127.27.0.%d", n+1))
+		addr, err := w.ProxyAddr(n)
 		if err != nil {
 			return f, err
 		}
@@ -396,7 +396,7 @@
 	control := ""
 	if f.x.Operated() {
 		var err error
-		if control, err = world.Free(fmt.Sprintf("127.27.1.%d", n+1)); err != nil {
+		if control, err = f.w.ControlAddr(n); err != nil {
 			return nil, err
 		}
 	}
--- a/lab/run/stand.go
+++ b/lab/run/stand.go
@@ -1,7 +1,6 @@
 package run
 
 import (
-	"fmt"
 	"os"
 	"path/filepath"
 
@@ -33,7 +32,7 @@
 		if err != nil {
 			return err
 		}
-		addr, err := world.Free(fmt.Sprintf("127.27.0.%d", n+1))
+		addr, err := w.ProxyAddr(n)
 		if err != nil {
 			return err
 		}
--- a/lab/world/cache.go
+++ b/lab/world/cache.go
@@ -118,17 +118,21 @@
 	}
 	again := len(c.addrs) > 0
 	for n, d := range c.w.doors() {
-		addr := fmt.Sprintf("127.%d.%d.%d:0", 30+n, c.Number/250, c.Number%250+1)
+		addr := c.w.cacheHost(n, c.Number) + ":0"
 		if again {
 			addr = c.addrs[n]
 		}
-		l, err := c.w.listen(addr, d, ways.End{Site: c.Zone, Name: c.Name})
+		l, err := c.w.listenAgain(addr, func(addr string) (net.Listener, error) {
+			return c.w.listen(addr, d, ways.End{Site: c.Zone, Name: c.Name})
+		})
 		if err != nil {
 			c.mu.Unlock()
 			return fmt.Errorf("%s: %w", c.Name, err)
 		}
 		c.listeners = append(c.listeners, l)
-		if !again {
+		if again {
+			c.addrs[n] = l.Addr().String()
+		} else {
 			c.addrs = append(c.addrs, l.Addr().String())
 		}
 		go c.accept(l, d.zone)
--- a/lab/world/origin.go
+++ b/lab/world/origin.go
@@ -36,7 +36,7 @@
 	o.server = &http.Server{Handler: http.HandlerFunc(o.serve), ReadHeaderTimeout: 10 * time.Second,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }}
 	for n, d := range w.doors() {
-		l, err := w.listen(fmt.Sprintf("127.29.%d.1:0", n), d, w.OriginEnd())
+		l, err := w.listen(w.originHost(n)+":0", d, w.OriginEnd())
 		if err != nil {
 			o.close()
 			return nil, err
--- a/lab/world/registry.go
+++ b/lab/world/registry.go
@@ -100,7 +100,7 @@
 // Agent opens one for a proxy in a zone. It begins with the list as it is.
 func (r *Registry) Agent(n int) (*Agent, error) {
 	zone, at := r.w.Exp.ZoneOf(n), r.w.doorOf(n)
-	l, err := r.w.listen(fmt.Sprintf("127.28.0.%d:0", n+1), r.w.doors()[at], r.w.listEnd(zone))
+	l, err := r.w.listen(r.w.agentHost(n)+":0", r.w.doors()[at], r.w.listEnd(zone))
 	if err != nil {
 		return nil, err
 	}
@@ -260,7 +260,7 @@
 	if c.Small {
 		weight = 0.5
 	}
-	return instance{ID: e.ID, Addr: c.addrs[a.door], Zone: a.reg.w.Exp.Zones.Names[e.Zone], Kind: e.Kind, Cycle: cycles[e.State],
+	return instance{ID: e.ID, Addr: c.addr(a.door), Zone: a.reg.w.Exp.Zones.Names[e.Zone], Kind: e.Kind, Cycle: cycles[e.State],
 		Weight: weight, Started: e.Started}
 }
 
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -27,6 +27,7 @@
 
 	Ways *ways.Table // nil: nothing is ever wrong between two processes, and nothing stands in between
 
+	block  int // of its addresses
 	start  time.Time
 	mu     sync.Mutex
 	caches []*Cache // by server number - 1; the origin is 0
@@ -42,7 +43,7 @@
 
 // New makes a world and opens its listeners; its clock starts here.
 func New(exp *experiment.File, book *ledger.Book) (*World, error) {
-	w := &World{Exp: exp, Book: book, start: time.Now()}
+	w := &World{Exp: exp, Book: book, block: nextBlock(), start: time.Now()}
 	if exp.Cuts() {
 		w.Ways = ways.New(exp.Seed)
 	}
@@ -89,7 +90,7 @@
 	w.mu.Lock()
 	n := uint32(len(w.caches) + 1)
 	c := newCache(w, n, fmt.Sprintf("cache-%d", n), old.Zone)
-	c.addrs = old.addrs
+	c.addrs = old.allAddrs()
 	w.caches = append(w.caches, c)
 	w.mu.Unlock()
 	return c, c.up(true)
