--- a/tools/citest/main_test.go
+++ b/tools/citest/main_test.go
@@ -82,6 +82,19 @@
 	}
 }
 
+func TestSplit(t *testing.T) {
+	for _, c := range []struct{ args, flags, patterns string }{
+		{"", "", "./..."},
+		{"-race -count=1", "-race -count=1", "./..."},
+		{"-race -- ./a ./b/...", "-race", "./a ./b/..."},
+	} {
+		flags, patterns := split(strings.Fields(c.args))
+		if strings.Join(flags, " ") != c.flags || strings.Join(patterns, " ") != c.patterns {
+			t.Errorf("%q: %q, %q", c.args, flags, patterns)
+		}
+	}
+}
+
 // What is no line of the format is shown, not dropped.
 func TestReadShowsOtherLines(t *testing.T) {
 	var shown strings.Builder
