review: an upgrade lets a copied id run an at-most-once write twice

Cause: ids of open requests, by which a copy is refused, are known to one process only, and during an upgrade two processes serve as one proxy. No code of the program changes.

--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,5 +1,6 @@
-// Command 3 restarts a proxy as planned, by SIGTERM, while clients on slow lines read long values, and go on sending requests on their
-// connections as these stay open. The case judges whether each value that its cache node has given in full reaches its client.
+// Command 3 starts a new version of a proxy beside the old one, as operators do, while clients have at-most-once writes open. A bad client
+// sends each of these a second time under the same id on a connection of its own. The case judges whether the bad client gets an error and
+// whether each write runs once.
 package main
 
 import (
@@ -7,10 +8,10 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,15 +20,12 @@
 
 const (
 	cacheCount = 9
-	readers    = 6
-	longSize   = 4 << 20 // bytes of a long value
-	lineRate   = 2 << 20 // bytes a second that a client reads
-	lineBuffer = 64 << 10
-	termAfter  = 200 * time.Millisecond // from the requests until SIGTERM
-	sendEvery  = 300 * time.Millisecond // between two further requests on a connection
-	// SIGKILL comes no sooner than the longest deadline of the settings, 2 s, and 0.7 s more after SIGTERM.
-	killAfter  = 2*time.Second + 700*time.Millisecond
-	stallLimit = 150 * time.Millisecond
+	writers    = 8
+	work       = 250 * time.Millisecond // that a write takes at the origin
+	copyAfter  = 60 * time.Millisecond  // from a write until the bad client sends it again
+	errorOwed  = 3 * time.Second        // within which a bad client is owed an error or a close
+	killAfter  = 3*time.Second + 700*time.Millisecond
+	// The rules are judged with the client's clock: a copy counts if its last byte was written before the first write was answered.
 )
 
 func main() {
@@ -47,90 +45,70 @@
 // world is what the goroutines of a run share.
 type world struct {
 	record *rig.Record
-	given  sync.Map // ids whose whole answer a cache node has written
-	killed atomic.Bool
-	whole  atomic.Int64
-	cut    atomic.Int64
-	absent atomic.Int64
+
+	mu   sync.Mutex
+	runs map[string]int // by request id: how often the origin has run it
 }
 
-// cacheNode answers with a value at once, a long one if the key says so.
+// cacheNode answers reads at once.
 func (w *world) cacheNode(c *net.TCPConn, cmd rig.Command) bool {
-	key, id := cmd.Words[1], cmd.Words[2]
-	size := 24
-	if strings.HasPrefix(key, "long") {
-		size = longSize
-	}
-	_, err := io.WriteString(c, rig.Hit(rig.Value(id, size)))
-	if err == nil {
-		w.given.Store(id, true)
-	}
-	w.record.Add("a cache node has written the answer of %d bytes to %s, error %v", size, id, err)
+	_, err := io.WriteString(c, rig.Hit(rig.Value(cmd.Words[2], 24)))
 	return err == nil
 }
 
-// reader asks for a long value, reads it as fast as its line allows, and sends a further request now and then meanwhile.
-func (w *world) reader(addr string, n int, asked *sync.WaitGroup) {
-	c, err := rig.Dial(addr)
-	if err != nil {
-		w.absent.Add(1)
-		asked.Done()
-		return
+// origin carries out a write and answers with its receipt.
+func (w *world) origin(out http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Trace-Id")
+	io.Copy(io.Discard, r.Body)
+	w.mu.Lock()
+	w.runs[id]++
+	n := w.runs[id]
+	w.mu.Unlock()
+	w.record.Add("the origin runs %s of %s, its run number %d", r.Method, id, n)
+	time.Sleep(work)
+	io.WriteString(out, rig.Value(id, 24))
+}
+
+// purchase is a write of a usual client and its copy from a bad one.
+type purchase struct {
+	id, text     string
+	client       *rig.Client
+	answered     time.Time
+	reply        string
+	err          error
+	copied       time.Time
+	copyReply    string
+	copyErr      error
+	copyAnswered time.Time
+}
+
+// send sends the write on the client's own connection and waits for its answer.
+func (p *purchase) send(record *rig.Record) {
+	record.Add("client sends the purchase %s on the connection that it has", p.id)
+	if _, p.err = io.WriteString(p.client, p.text); p.err == nil {
+		p.client.SetReadDeadline(time.Now().Add(6 * time.Second))
+		p.reply, p.err = rig.ReadReply(p.client.Reader)
 	}
-	defer c.Close()
-	c.SetReadBuffer(lineBuffer)
-	id := fmt.Sprintf("long-%d", n)
-	_, err = io.WriteString(c, rig.Encode("CACHE.GET", fmt.Sprintf("long%d", n), id, "c=pickup-info,t=acme,d=2000"))
-	sent := time.Now()
-	asked.Done()
-	w.record.Add("client asks for %s, error %v", id, err)
-	done := make(chan struct{})
-	defer close(done)
-	go func() {
-		for i := 0; ; i++ {
-			select {
-			case <-done:
-				return
-			case <-time.After(sendEvery):
-			}
-			next := fmt.Sprintf("next-%d-%d", n, i)
-			_, err := io.WriteString(c, rig.Encode("CACHE.GET", fmt.Sprintf("key%d", i), next, "c=pickup-info,t=acme,d=2000"))
-			w.record.Add("client sends %s on the same connection, error %v", next, err)
-			if err != nil {
-				return
-			}
-		}
-	}()
-	c.SetReadDeadline(sent.Add(20 * time.Second))
-	want := len(fmt.Sprintf("$%d\r\n", longSize)) + longSize + 2
-	got, first := 0, time.Duration(0)
-	part := make([]byte, 16<<10)
-	for got < want && err == nil {
-		var size int
-		size, err = c.Read(part[:min(len(part), want-got)])
-		if got == 0 && size > 0 {
-			first = time.Since(sent)
-			if part[0] != '$' {
-				w.absent.Add(1)
-				w.record.Add("client got %q for %s", part[:size], id)
-				return
-			}
-		}
-		got += size
-		time.Sleep(time.Until(sent.Add(first + time.Duration(got)*time.Second/lineRate)))
+	p.answered = time.Now()
+	record.Add("client got %q for %s, error %v", p.reply, p.id, p.err)
+}
+
+// sendCopy sends the write once more, as a bad client does, on a new connection.
+func (p *purchase) sendCopy(record *rig.Record, addr string) {
+	var bad *rig.Client
+	if bad, p.copyErr = rig.Dial(addr); p.copyErr != nil {
+		return
 	}
-	_, given := w.given.Load(id)
-	w.record.Add("client got %d of %d bytes of the answer to %s, the first after %v, the last after %v, error %v; the cache node has given all: %v; SIGKILL sent: %v",
-		got, want, id, first.Round(time.Millisecond), time.Since(sent).Round(time.Millisecond), err, given, w.killed.Load())
-	switch {
-	case got == want:
-		w.whole.Add(1)
-	case given && !w.killed.Load():
-		w.cut.Add(1)
-		w.record.Add("LOST: the proxy has cut off what it was given in full for %s", id)
-	default:
-		w.absent.Add(1)
+	defer bad.Close()
+	if _, p.copyErr = io.WriteString(bad, p.text); p.copyErr != nil {
+		return
 	}
+	p.copied = time.Now()
+	record.Add("bad client sends the id of the open request %s on a new connection", p.id)
+	bad.SetReadDeadline(p.copied.Add(errorOwed))
+	p.copyReply, p.copyErr = rig.ReadReply(bad.Reader)
+	p.copyAnswered = time.Now()
+	record.Add("bad client got %q for %s, error %v", p.copyReply, p.id, p.copyErr)
 }
 
 func play(record *rig.Record) (status int, err error) {
@@ -139,7 +117,7 @@
 		return rig.CantGo, err
 	}
 	defer os.RemoveAll(folder)
-	w := &world{record: record}
+	w := &world{record: record, runs: map[string]int{}}
 	var list []rig.Instance
 	for i := range cacheCount {
 		cache, err := rig.NewCache(fmt.Sprintf("s-%d", i), w.cacheNode)
@@ -148,6 +126,11 @@
 		}
 		list = append(list, rig.Node(cache.ID, cache.Addr(), "std"))
 	}
+	origin, err := rig.NewOrigin(w.origin)
+	if err != nil {
+		return rig.CantGo, err
+	}
+	list = append(list, rig.Node("map-store", origin.Addr(), "origin"))
 	discovery, err := rig.NewDiscovery(list)
 	if err != nil {
 		return rig.CantGo, err
@@ -156,56 +139,101 @@
 	if err != nil {
 		return rig.CantGo, err
 	}
-	classes := []rig.Object{rig.Class("rx-lookup", "read_like", 600, 1200), rig.Class("stock-check", "read_like", 250, 600),
-		rig.Class("med-history", "read_like", 600, 1500), rig.Class("pickup-info", "read_like", 500, 2000)}
-	proxy, err := rig.Start(folder, rig.Launch{Name: "n0", Listen: listen, Discovery: discovery.Addr(), MemoryMB: 192, Sockets: 1024, Cores: 1,
-		Known: discovery.Document(), Settings: rig.Settings(3, 0, classes)})
+	classes := []rig.Object{rig.Class("tile-read", "read_like", 600, 1500), rig.Class("pack-purchase", "non_idempotent", 2500, 6000)}
+	launch := rig.Launch{Name: "n0", Listen: listen, Discovery: discovery.Addr(), MemoryMB: 192, Sockets: 1024, Cores: 1,
+		Known: discovery.Document(), Settings: rig.Settings(4, 0, classes)}
+	if launch.Control, err = rig.FreeAddr(); err != nil {
+		return rig.CantGo, err
+	}
+	old, err := rig.Start(folder, launch)
 	if err != nil {
 		return rig.CantGo, err
 	}
-	defer proxy.Kill()
-	stalls := rig.WatchStalls()
-	var running, asked sync.WaitGroup
-	for n := range readers {
-		running.Add(1)
-		asked.Add(1)
+	defer old.Kill()
+	purchases := make([]*purchase, writers)
+	for i := range purchases {
+		p := &purchase{id: fmt.Sprintf("purchase-%d", i)}
+		p.text = rig.Encode("CACHE.SET", fmt.Sprintf("pack-%d", i), p.id, "c=pack-purchase,t=acme,d=4000", "one pack for "+p.id)
+		if p.client, err = rig.Dial(listen); err != nil {
+			return rig.CantGo, err
+		}
+		defer p.client.Close()
+		io.WriteString(p.client, rig.Encode("PING"))
+		if line, err := rig.ReadReply(p.client.Reader); err != nil || line != "+PONG" {
+			return rig.CantGo, fmt.Errorf("PING was answered %q, %v", line, err)
+		}
+		purchases[i] = p
+	}
+	if rig.Trouble() {
+		record.Add("run is started again beside the process that serves")
+		if launch.Control, err = rig.FreeAddr(); err != nil {
+			return rig.CantGo, err
+		}
+		next, err := rig.Start(folder, launch)
+		if err != nil {
+			return rig.CantGo, err
+		}
+		defer next.Kill()
+		record.Add("the new process says yes")
+	}
+	var running sync.WaitGroup
+	for _, p := range purchases {
+		running.Add(2)
+		go func() {
+			defer running.Done()
+			p.send(record)
+		}()
 		go func() {
 			defer running.Done()
-			w.reader(listen, n, &asked)
+			time.Sleep(copyAfter)
+			p.sendCopy(record, listen)
 		}()
 	}
-	asked.Wait()
-	time.Sleep(termAfter)
 	if rig.Trouble() {
-		record.Add("SIGTERM")
-		if err := proxy.Signal(syscall.SIGTERM); err != nil {
+		time.Sleep(2 * copyAfter)
+		record.Add("the old process gets SIGTERM")
+		if err := old.Signal(syscall.SIGTERM); err != nil {
 			return rig.CantGo, err
 		}
-		go func() {
-			if proxy.Wait(killAfter) {
-				record.Add("the proxy has ended")
-				return
-			}
-			w.killed.Store(true)
-			record.Add("SIGKILL")
-			proxy.Kill()
-		}()
+		if !old.Wait(killAfter) {
+			record.Add("the old process gets SIGKILL")
+			old.Kill()
+		}
 	}
 	running.Wait()
 	rig.CopyLog(record, folder, "n0")
-	record.Say("long values: %d whole, %d cut off by the proxy, %d without a value or cut by SIGKILL; longest stall of this program %v",
-		w.whole.Load(), w.cut.Load(), w.absent.Load(), stalls().Round(time.Millisecond))
+	twice, served, unanswered, tested := 0, 0, 0, 0
+	for _, p := range purchases {
+		if p.reply == "" {
+			unanswered++
+		}
+		if p.copied.IsZero() || !p.copied.Before(p.answered) || !strings.HasPrefix(p.reply, "$"+p.id) {
+			continue // the copy did not meet an open request that was served
+		}
+		tested++
+		w.mu.Lock()
+		n := w.runs[p.id]
+		w.mu.Unlock()
+		if n > 1 {
+			twice++
+			record.Add("TWICE: the at-most-once write %s has run %d times", p.id, n)
+		}
+		if strings.HasPrefix(p.copyReply, "$") {
+			served++
+			record.Add("SERVED: the bad client got a value under the id of the open request %s", p.id)
+		}
+	}
+	record.Say("open at-most-once writes whose id a bad client sent: %d; run twice: %d; bad clients served with a value: %d; writes without an answer: %d",
+		tested, twice, served, unanswered)
 	switch {
-	case !rig.Trouble() && proxy.Ended():
-		record.Say("the proxy has ended by itself")
+	case twice+served > 0:
+		record.Say("BROKEN: no effect happens twice, and a bad client is not served with a value")
 		return rig.Broken, nil
-	case stalls() > stallLimit:
-		return rig.CantGo, fmt.Errorf("this program stood still for %v: the machine is too busy", stalls())
-	case w.cut.Load() > 0:
-		record.Say("BROKEN: no op is lost")
+	case !rig.Trouble() && old.Ended():
+		record.Say("the proxy has ended by itself")
 		return rig.Broken, nil
-	case w.whole.Load() == 0:
-		return rig.CantGo, errors.New("no long value came")
+	case tested == 0:
+		return rig.CantGo, errors.New("no copy met an open request")
 	}
 	record.Say("held")
 	return rig.Held, nil
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -128,7 +129,7 @@
 	return string(match[1]), nil
 }
 
-// Start writes a proxy's configuration into a folder, starts it by the deploy file's run line, and waits until PING is answered.
+// Start writes a proxy's configuration into a folder, starts it by the deploy file's run line, and waits until it takes clients.
 func Start(folder string, l Launch) (*Proxy, error) {
 	p := &Proxy{Name: l.Name, Listen: l.Listen, Control: l.Control, ended: make(chan struct{})}
 	conf := Object{"name": l.Name, "listen": l.Listen, "discovery": l.Discovery, "seed": fmt.Sprintf("%016x", time.Now().UnixNano()),
@@ -170,7 +171,7 @@
 		close(p.ended)
 	}()
 	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
-		if p.pings() {
+		if p.ready() {
 			return p, nil
 		}
 	}
@@ -178,8 +179,18 @@
 	return nil, fmt.Errorf("%s was not ready in time", l.Name)
 }
 
-// pings reports whether the proxy answers PING with a yes.
-func (p *Proxy) pings() bool {
+// ready reports whether the proxy takes clients: by the operators' call if it listens for these, otherwise by PING, which another process
+// at the same address could answer in its place.
+func (p *Proxy) ready() bool {
+	if p.Control != "" {
+		client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+		answer, err := client.Get("http://" + p.Control + "/_ready")
+		if err != nil {
+			return false
+		}
+		answer.Body.Close()
+		return answer.StatusCode == http.StatusOK
+	}
 	c, err := net.DialTimeout("tcp", p.Listen, time.Second)
 	if err != nil {
 		return false
