--- /dev/null
+++ b/lab/hostile/memory_test.go
@@ -0,0 +1,66 @@
+package hostile
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+var (
+	memoryMB    = flag.Int("hostile.memory", 32, "memory limit of the proxy in MB")
+	sockets     = flag.Int("hostile.sockets", 1024, "descriptor limit of the proxy")
+	clients     = flag.Int("hostile.clients", 480, "hostile clients")
+	playTime    = flag.Duration("hostile.time", 4*time.Second, "length of a run")
+	program     = flag.String("hostile.program", "", "program of the proxy; empty: it is built")
+	seed        = flag.Uint64("hostile.seed", 1, "seed of the runs")
+	builtBinary string
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	dir, err := os.MkdirTemp("", "hostile")
+	if err == nil {
+		builtBinary = filepath.Join(dir, "minttray")
+		if *program != "" {
+			builtBinary = *program
+		} else if output, buildErr := exec.Command("go", "build", "-o", builtBinary, "minttray/cmd/minttray").CombinedOutput(); buildErr != nil {
+			err = fmt.Errorf("%w: %s", buildErr, output)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	status := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(status)
+}
+
+// play runs the smallest deployment under pressure and checks what holds under any: the process stays up and within its memory,
+// and each well-behaved request gets an answer.
+func play(t *testing.T, pressures []Pressure) {
+	t.Helper()
+	r, err := Play(Setup{Program: builtBinary, Dir: t.TempDir(), Cores: 1, MemoryMB: *memoryMB, Sockets: *sockets, Seed: *seed}, pressures, *playTime)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(r)
+	if r.Ended || r.PeakBytes > int64(*memoryMB)<<20 {
+		t.Errorf("ended %v, peak %d bytes, limit %d MB: %s", r.Ended, r.PeakBytes, *memoryMB, r.Log)
+	}
+	if r.Lost > 0 {
+		t.Errorf("%d requests got no answer", r.Lost)
+	}
+}
+
+// Hundreds of clients that write slowly, stop half way, send very many fields or do not read must not take a process past its
+// memory limit.
+func TestMemoryLimitUnderHostileClients(t *testing.T) {
+	for _, kind := range Kinds {
+		t.Run(string(kind), func(t *testing.T) { play(t, []Pressure{{kind, *clients}}) })
+	}
+}
