Drop what an ended request refers to: its timers, and its place in the answers

Cause: requests that the books had released were still referred to. The timer of a push kept the request with its value until the push's time was over, though it had ended long before; the writer moved the answered requests of a connection out of the list but left the old pointers behind its end. Change: a push's timers and a request's are cancelled as it ends; the places behind the end are cleared. Why it works: a value is unreachable as soon as no attempt uses it, so the collector's next turn frees it.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -100,6 +100,7 @@
 	pushCount  int         // pushes so far
 	maxPushes  int         // limit of pushes
 	openPushes []*push
+	expiry     *timer // cancelled when the op is released
 
 	effect      policy.Effect
 	dedupWindow policy.Time // time within which caches drop a repeat; 0: the op is not deduplicated
@@ -113,6 +114,10 @@
 	cache  uint32
 	sentAt policy.Time
 	abort  func(AbortCondition) bool
+
+	// Both are cancelled when the push ends: they refer to its request, with the value.
+	timeout   *timer
+	windowEnd *timer // when a repeat of a deduplicated op may no longer arrive; nil: it is none
 }
 
 // New creates an engine; Run starts it.
@@ -353,7 +358,7 @@
 	record.id = e.lastID
 	e.records[record.id], o.record = record, record
 	e.Counters.Taken++
-	e.timers.set(record.deadline+overdueGrace, func() { e.expire(record) })
+	record.expiry = e.timers.set(record.deadline+overdueGrace, func() { e.expire(record) })
 	e.module.OpArrived(record.id, o.Key, o.Category, o.Tenant, o.Request.Write, o.IsRetry, max(record.deadline-e.now, 0))
 	if e.shuttingDown.Load() { // it was submitted just before
 		e.module.HandBack(record.id)
@@ -433,8 +438,9 @@
 		if record.OnRelease != nil {
 			record.OnRelease()
 		}
-		// Timers keep the record for a while and must not retain the value. Only the reference is dropped, since a server may still be
-		// reading the op.
+		e.timers.cancel(record.expiry)
+		// Callbacks of late results keep the record for a while and must not retain the value. Only the reference is dropped, since a
+		// server may still be reading the op.
 		record.Op = nil
 		e.opCount.Add(-1)
 		e.byteCount.Add(-record.size)
@@ -455,7 +461,9 @@
 	if index < 0 {
 		return // the push was aborted earlier and its outcome reported then
 	}
-	record.openPushes = append(record.openPushes[:index], record.openPushes[index+1:]...)
+	record.openPushes = slices.Delete(record.openPushes, index, index+1)
+	e.timers.cancel(p.timeout)
+	e.timers.cancel(p.windowEnd)
 	if !r.Outcome.NotExecuted() && (record.firstRunAt == 0 || p.sentAt < record.firstRunAt) {
 		record.firstRunAt = p.sentAt
 	}
--- a/internal/engine/policy_host.go
+++ b/internal/engine/policy_host.go
@@ -37,11 +37,11 @@
 		}
 		e.queue.put(answerEvent, func() { e.pushEnded(record, p, r) })
 	})
-	e.timers.set(until, func() { e.drop(record, p, policy.TimedOut) })
+	p.timeout = e.timers.set(until, func() { e.drop(record, p, policy.TimedOut) })
 	if record.dedupWindow > 0 && record.firstRunAt > 0 {
 		// The module started the repeat within the deduplication window. If its connection is established late, or the server hangs during
 		// the write, the repeat would arrive after the window and the op would run twice.
-		e.timers.set(record.firstRunAt+record.dedupWindow-e.Settings.Tick, func() {
+		p.windowEnd = e.timers.set(record.firstRunAt+record.dedupWindow-e.Settings.Tick, func() {
 			switch {
 			case !slices.Contains(record.openPushes, p):
 			case p.abort(IfUnwritten):
@@ -133,11 +133,13 @@
 	e.Counters.Probes++
 	s.probing = true
 	ended, until := false, e.now+probeTimeout
+	var timeout *timer
 	end := func(r Result) {
 		if ended {
 			return
 		}
-		ended, s.probing = true, false
+		ended, s.probing, s.cancelProbe = true, false, nil
+		e.timers.cancel(timeout)
 		reported := r.Outcome == policy.Acked && r.Err == nil
 		if !reported {
 			e.Counters.ProbesFailed++
@@ -150,7 +152,7 @@
 			end(Result{Outcome: policy.NotSent})
 		}
 	}
-	e.timers.set(until, func() {
+	timeout = e.timers.set(until, func() {
 		if !ended {
 			abort(Always)
 			end(Result{Outcome: policy.TimedOut})
--- a/internal/front/writer.go
+++ b/internal/front/writer.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,7 +37,7 @@
 			batch = append(batch, slot{op: c.slots[n].op, class: c.slots[n].class, outcome: c.slots[n].outcome, body: c.slots[n].body})
 			n++
 		}
-		c.slots = append(c.slots[:0], c.slots[n:]...)
+		c.slots = slices.Delete(c.slots, 0, n) // clears the places behind the end, which would retain answered requests
 		closed := c.closed
 		c.writing = n > 0 && !closed
 		c.mu.Unlock()
