Keep values of writes in blocks of a bounded pool, and read none before it has arrived

Cause: a value stood in memory several times, and the books counted one of them: a read buffer grown to 72 KiB in five steps, each left to the collector; the request's copy; the pool's copy of both in its write buffer. A connection whose client had stopped held its buffer for 2.5 s. A long value that found no memory was read into 64 KiB of scratch for each connection. Change: internal/memory lends blocks of one size up to a limit. A write's value over 2 KiB stays in the kernel until all of it has arrived, then takes a block, is read straight into it, and goes to the server from there (writev). The block is given back when neither the engine nor an attempt uses the request. Without a block the value is read and thrown away in the small buffer, and the request is refused after half of its time at the latest. Commands that are long without their value take blocks of a pool of their own. TestHalfReadCommandsShareABound sent half of a write and wanted some of ten clients rejected; such a write holds nothing now. It sends long properties in its place and wants eight of ten rejected, and TestHalfReadValuesHoldNoMemory wants nothing lent to half-read values and an error for each of their clients.

--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -29,8 +29,8 @@
 	RateField    string // operations completed per second
 }
 
-// AppendRequest appends the command as the client sent it, except for the deadline, which is the attempt's own. For a value in parts, it
-// appends the length line and the final line end, and valueOffset is the position between them.
+// AppendRequest appends the command as the client sent it, except for the deadline, which is the attempt's own. For a value that is not
+// inline, it appends the length line and the final line end, and valueOffset is the position between them.
 func (Protocol) AppendRequest(b []byte, r *engine.Request, attemptDeadline deadline.AttemptDeadline) (encoded []byte, valueOffset int) {
 	if r.Probe {
 		return redcon.AppendBulkString(redcon.AppendBulkString(redcon.AppendArray(b, 2), "INFO"), "load"), 0
@@ -48,7 +48,7 @@
 	b = redcon.AppendBulkString(b, r.Key)
 	b = redcon.AppendBulkString(b, r.ID)
 	b = redcon.AppendBulk(b, r.Properties.Append(nil, attemptDeadline))
-	if len(r.Parts) > 0 {
+	if r.Size() > engine.MaxInlineBytes {
 		b = append(strconv.AppendInt(append(b, '$'), int64(r.Size()), 10), "\r\n"...)
 		return append(b, "\r\n"...), len(b)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"minttray/internal/figures"
 	"minttray/internal/front"
 	"minttray/internal/logs"
+	"minttray/internal/memory"
 	"minttray/internal/operators"
 	"minttray/internal/origin"
 	"minttray/internal/pool"
@@ -168,8 +169,13 @@
 		Metrics:           metrics,
 		MaxPendingBytes:   memoryBytes / 8,
 		MaxLongValueBytes: memoryBytes / 4,
-		Log:               log,
-		Pulse:             stallMonitor,
+		Blocks: front.BlockPools{
+			Commands:   memory.NewPool(memoryBytes / 32),
+			Values:     memory.NewPool(memoryBytes / 16),
+			LongValues: memory.NewPool(memoryBytes / 2),
+		},
+		Log:   log,
+		Pulse: stallMonitor,
 	}
 	coordinator.front = frontEnd
 	coordinator.engine = eng
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -305,6 +305,8 @@
 		return err
 	}
 	o.clientWait = o.Request.Deadline.Remaining(o.ReceivedAt)
+	o.Request.onUnused = o.OnRelease
+	o.Request.Hold()
 	o.markTime(&o.Trace.Submitted, time.Now())
 	e.unanswered.add(o)
 	e.queue.put(requestEvent, func() { e.opArrived(o, size) })
@@ -333,9 +335,7 @@
 			e.Counters.ClientsLeft++
 		}
 		e.unanswered.remove(o)
-		if o.OnRelease != nil {
-			o.OnRelease()
-		}
+		o.Request.Drop()
 		e.opCount.Add(-1)
 		e.byteCount.Add(-size)
 		return
@@ -435,9 +435,7 @@
 func (e *Engine) releaseOp(record *opRecord) {
 	if record.ended && len(record.openPushes) == 0 && e.records[record.id] == record {
 		delete(e.records, record.id)
-		if record.OnRelease != nil {
-			record.OnRelease()
-		}
+		record.Request.Drop()
 		e.timers.cancel(record.expiry)
 		// Callbacks of late results keep the record for a while and must not retain the value. Only the reference is dropped, since a
 		// server may still be reading the op.
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -29,6 +29,19 @@
 	MayStream func() bool
 
 	abandoned atomic.Bool
+	holders   atomic.Int32 // the engine and each attempt that may still read the request
+	onUnused  func()       // called when the last holder drops the request; nil: nothing is to be done
+}
+
+// Hold keeps the request's memory until a call of Drop. An attempt holds its request for as long as it may read it: the engine may
+// end the op while the request is being written.
+func (r *Request) Hold() { r.holders.Add(1) }
+
+// Drop ends a Hold.
+func (r *Request) Drop() {
+	if r.holders.Add(-1) == 0 && r.onUnused != nil {
+		r.onUnused()
+	}
 }
 
 // Abandoned reports whether nobody waits for the request any more. From then on no byte of it is sent, however late the engine runs.
@@ -37,12 +50,20 @@
 // Abandon marks the request as one that nobody waits for: its client has left, or already has an answer.
 func (r *Request) Abandon() { r.abandoned.Store(true) }
 
-// MaxContiguousBytes is the longest value kept in one slice, MaxValueBytes the longest value accepted.
 const (
-	MaxContiguousBytes = 64 << 10
-	MaxValueBytes      = 4 << 20
+	MaxInlineBytes     = 2 << 10  // longest value that is copied with the command around it
+	MaxContiguousBytes = 64 << 10 // longest value kept in one slice
+	MaxValueBytes      = 4 << 20  // longest value accepted
 )
 
+// Pieces returns the value in the slices that it is kept in.
+func (r *Request) Pieces() [][]byte {
+	if len(r.Parts) > 0 {
+		return r.Parts
+	}
+	return [][]byte{r.Value}
+}
+
 // Size returns the length of the value in bytes.
 func (r *Request) Size() (n int) {
 	for _, part := range r.Parts {
@@ -63,7 +84,7 @@
 	AtMostOnce       bool // the op must never run twice
 	Request          Request
 	Reply            Replier
-	OnRelease        func() // called on the engine's goroutine when the request is no longer used; may be nil
+	OnRelease        func() // called when neither the engine nor an attempt uses the request any more; may be nil
 
 	Trace Trace // when the op reached each of its states
 
--- a/internal/front/command.go
+++ b/internal/front/command.go
@@ -31,10 +31,33 @@
 // commandLimits bounds commands, which are arrays of bulk strings only: inline commands are not supported.
 var commandLimits = resp.Limits{MaxElements: 16, MaxBulkLength: maxValueLength}
 
+// inlineLimits bounds commands that are parsed in the read buffer. The value of a write that exceeds them is read apart.
+var inlineLimits = resp.Limits{MaxElements: commandLimits.MaxElements, MaxBulkLength: engine.MaxInlineBytes}
+
+// Place of a write's value in its command.
+const (
+	writeWords = 5
+	valueIndex = 4
+)
+
+// valueTooLong returns the error if it reports a write's value that has to be read apart from its command, and nil otherwise.
+func valueTooLong(err error) *resp.BulkTooLongError {
+	var tooLong *resp.BulkTooLongError
+	if errors.As(err, &tooLong) && tooLong.Index == valueIndex && tooLong.ArrayLength == writeWords && tooLong.Length > 0 &&
+		tooLong.Length <= engine.MaxValueBytes {
+		return tooLong
+	}
+	return nil
+}
+
 // nextCommand parses the command at the start of b, which takes n bytes, or 0 while it is incomplete. An error means
-// that the framing is lost.
+// that the framing is lost, unless valueTooLong accepts it.
 func nextCommand(b []byte, args [][]byte) (n int, words [][]byte, err error) {
-	if n, err = commandLimits.CheckArray(b); n == 0 || err != nil {
+	n, err = inlineLimits.CheckArray(b)
+	if err != nil && valueTooLong(err) == nil {
+		n, err = commandLimits.CheckArray(b)
+	}
+	if n == 0 || err != nil {
 		return 0, nil, err
 	}
 	complete, words, kind, rest, err := redcon.ReadNextCommand(b[:n], args)
@@ -76,9 +99,9 @@
 // parseRequest makes an op from the words of a command whose last byte was received at received or later. The error's
 // text is sent to the client.
 func (n NameTable) parseRequest(words [][]byte, write bool, received time.Time) (*engine.Op, error) {
-	wantWords := 4
+	wantWords := writeWords - 1
 	if write {
-		wantWords = 5
+		wantWords = writeWords
 	}
 	if len(words) != wantWords {
 		return nil, fmt.Errorf("wrong number of arguments: %d words wanted, %d came", wantWords, len(words))
@@ -95,7 +118,7 @@
 		return nil, errors.New("line break in the properties")
 	}
 	if write {
-		op.Request.Value = append([]byte(nil), words[4]...)
+		op.Request.Value = append([]byte(nil), words[valueIndex]...)
 	}
 	op.Key = hashKey(op.Request.Key)
 	return op, n.parseProperties(op, list)
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -92,6 +92,7 @@
 // newConn returns a connection on which nothing had arrived at notBefore.
 func newConn(srv *Server, nc net.Conn, notBefore time.Time) *conn {
 	c := &conn{server: srv, nc: nc, source: newArrivalReader(nc, notBefore, srv.Pulse), wake: make(chan struct{}, 1), readerDone: make(chan struct{}), createdAt: time.Now()}
+	c.buf.Blocks = srv.Blocks.Commands
 	c.lastActive = c.createdAt
 	c.spaceFreed.L = &c.mu
 	c.readerChanged.L = &c.mu
--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -12,7 +12,7 @@
 	"minttray/internal/buffer"
 	"minttray/internal/engine"
 	"minttray/internal/figures"
-	"minttray/internal/resp"
+	"minttray/internal/memory"
 )
 
 // readLoop reads commands until the client leaves, the framing is lost, a timeout expires or the connection is being
@@ -28,7 +28,10 @@
 			c.stopReading() // commands read so far are still answered
 		}
 	}()
-	defer func() { c.server.bufferedBytes.Add(-int64(c.accountedSize)) }()
+	defer func() {
+		c.server.bufferedBytes.Add(-int64(c.accountedSize))
+		c.buf.Release()
+	}()
 	args := make([][]byte, 0, 8)
 	for {
 		if !c.prepareRead() {
@@ -44,6 +47,9 @@
 		if err == nil {
 			err = c.accountBuffer()
 		}
+		if errors.Is(err, memory.ErrNoMemory) {
+			err = errBufferMemory
+		}
 		if errors.Is(err, buffer.ErrFull) || errors.Is(err, errBufferMemory) {
 			c.rejectAndStop(&c.server.malformed, err)
 			return
@@ -55,10 +61,8 @@
 		now, received := time.Now(), c.source.receivedAfter
 		for {
 			n, words, err := nextCommand(c.buf.Bytes(), args)
-			var tooLong *resp.BulkTooLongError
-			if errors.As(err, &tooLong) && tooLong.Index == 4 && tooLong.ArrayLength == 5 && tooLong.Length > 0 && tooLong.Length <= engine.MaxValueBytes {
-				// The value, the fifth element of a CACHE.SET, is too long for the buffer.
-				if !c.handleLongSet(tooLong) {
+			if tooLong := valueTooLong(err); tooLong != nil {
+				if !c.handleWrite(tooLong) {
 					return
 				}
 				now, received = time.Now(), c.source.receivedAfter
@@ -72,9 +76,10 @@
 			if n == 0 {
 				break
 			}
-			if !c.handleCommand(words, nil, received, nil) {
+			if !c.handleCommand(words, nil, received) {
 				return
 			}
+			clear(words) // they refer to the buffer
 			c.buf.Discard(n)
 			c.partialSince = time.Time{}
 		}
@@ -176,13 +181,13 @@
 	return true
 }
 
-// handleCommand handles one command. parts holds a long value; the last byte arrived at received or
-// later. release, if not nil, is called once nobody needs the parts any more. It reports whether to read on.
-func (c *conn) handleCommand(words, parts [][]byte, received time.Time, release func()) bool {
+// handleCommand handles one command, whose last byte arrived at received or later. value holds a write's value that was read
+// apart from the words, and is nil otherwise. It reports whether to read on.
+func (c *conn) handleCommand(words [][]byte, value *writeValue, received time.Time) bool {
 	submitted := false
 	defer func() {
-		if release != nil && !submitted {
-			release()
+		if value != nil && !submitted {
+			value.release()
 		}
 	}()
 	name := strings.ToUpper(string(words[0][:min(len(words[0]), maxCommandName)]))
@@ -197,7 +202,10 @@
 			return c.rejectCommand(&c.server.malformed, err)
 		}
 		s := &slot{conn: c, op: op, class: names.classes[op.Category]}
-		op.Reply, op.Request.Parts, op.OnRelease = s, parts, release
+		op.Reply = s
+		if value != nil {
+			value.attach(op)
+		}
 		op.Request.MayStream = s.mayStream
 		if !c.reserve(s) {
 			return false
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -19,6 +19,7 @@
 	"minttray/decide/lifecycle"
 	"minttray/internal/engine"
 	"minttray/internal/figures"
+	"minttray/internal/memory"
 	"minttray/internal/pulse"
 )
 
@@ -30,6 +31,13 @@
 	Abandon(*engine.Op)
 }
 
+// BlockPools lend the memory of what is too large for a connection's own buffers. A nil pool is unlimited.
+type BlockPools struct {
+	Commands   *memory.Pool // read buffers of commands that are long without their value
+	Values     *memory.Pool // values of writes, up to engine.MaxContiguousBytes
+	LongValues *memory.Pool // parts of longer values; Server.MaxLongValueBytes limits them as a whole
+}
+
 // Server serves clients.
 type Server struct {
 	Engine            Engine
@@ -38,6 +46,7 @@
 	Metrics           *figures.Metrics
 	MaxLongValueBytes int64 // bytes of long values held on their way to servers and to clients, for all clients together
 	MaxPendingBytes   int64 // limit for unwrittenBytes and, separately, for bufferedBytes
+	Blocks            BlockPools
 	Log               zerolog.Logger
 	Pulse             *pulse.Monitor // detects stalls of this process; nil: stalls are not detected
 
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -13,10 +13,10 @@
 	"github.com/rs/zerolog"
 
 	"minttray/decide/lifecycle"
-	"minttray/internal/buffer"
 	"minttray/internal/deadline"
 	"minttray/internal/engine"
 	"minttray/internal/figures"
+	"minttray/internal/memory"
 	"minttray/internal/settings"
 	"minttray/policy"
 )
@@ -465,8 +465,11 @@
 
 // Guards against read buffers that are bounded one by one but not in sum.
 func TestHalfReadCommandsShareABound(t *testing.T) {
-	srv, _ := startServer(t, func(srv *Server) { srv.MaxPendingBytes = 200 << 10 })
-	half := command("CACHE.SET", "k", "id", "c=put,d=5", strings.Repeat("x", 64<<10))
+	srv, _ := startServer(t, func(srv *Server) {
+		srv.MaxPendingBytes = 200 << 10
+		srv.Blocks.Commands = memory.NewPool(2 * memory.BlockSize)
+	})
+	half := command("CACHE.GET", "k", "id", "c=read,d=5"+strings.Repeat(",a=1", 12000))
 	var rejected int
 	for range 10 {
 		c := dial(t, srv)
@@ -476,8 +479,55 @@
 			rejected++
 		}
 	}
-	if held := srv.bufferedBytes.Load(); rejected == 0 || held > srv.MaxPendingBytes+int64(10*buffer.MaxSize) {
-		t.Errorf("%d rejected, %d bytes buffered", rejected, held)
+	if held := srv.Blocks.Commands.Usage().Lent; rejected < 8 || held > 2*memory.BlockSize {
+		t.Errorf("%d rejected, %d bytes lent", rejected, held)
+	}
+}
+
+// A write that stops before its end must hold no memory for its value, and its client gets an error in time.
+func TestHalfReadValuesHoldNoMemory(t *testing.T) {
+	srv, _ := startServer(t, func(srv *Server) { srv.Blocks.Values = memory.NewPool(memory.BlockSize) })
+	half := command("CACHE.SET", "k", "id", "c=put,d=5000", strings.Repeat("x", 64<<10))
+	var clients []*client
+	for range 10 {
+		c := dial(t, srv)
+		c.send(half[:len(half)-5])
+		clients = append(clients, c)
+	}
+	waitUntil(t, "all commands to be read in part", func() bool { return srv.bufferedBytes.Load() >= int64(len(clients)<<10) })
+	if lent, buffered := srv.Blocks.Values.Usage().Lent, srv.bufferedBytes.Load(); lent != 0 || buffered > int64(len(clients)*4<<10) {
+		t.Errorf("%d bytes lent, %d buffered", lent, buffered)
+	}
+	for _, c := range clients {
+		c.expect("-ERR the rest of the value did not come", "EOF")
+	}
+}
+
+// A write must wait for memory no longer than half of its client's time, and is refused then. What is behind it is served.
+func TestAWriteWithoutMemoryIsRefusedInTime(t *testing.T) {
+	srv, e := startServer(t, func(srv *Server) { srv.Blocks.Values = memory.NewPool(memory.BlockSize) })
+	held := srv.Blocks.Values.TryAcquire()
+	c := dial(t, srv)
+	set := func(id string) string {
+		return command("CACHE.SET", "k", id, "c=put,d=400", strings.Repeat("x", 60<<10))
+	}
+	begun := time.Now()
+	c.send(set("first") + getCommand("behind"))
+	c.expect("-BUSY")
+	if took := time.Since(begun); took > 400*time.Millisecond+lateThreshold {
+		t.Errorf("refused after %v", took)
+	}
+	receive(t, e.submitted).Reply.Acked([]byte("v"))
+	c.expect("$1", "v")
+	held.Release()
+	c.send(set("second"))
+	o := receive(t, e.submitted)
+	if len(o.Request.Value) != 60<<10 || srv.Blocks.Values.Usage().Lent != memory.BlockSize {
+		t.Errorf("value of %d bytes, %+v", len(o.Request.Value), srv.Blocks.Values.Usage())
+	}
+	o.OnRelease()
+	if lent := srv.Blocks.Values.Usage().Lent; lent != 0 {
+		t.Errorf("%d bytes are still lent", lent)
 	}
 }
 
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -35,7 +35,7 @@
 	properties := string(r.Properties.Append(nil, attemptDeadline))
 	req := &http.Request{Method: http.MethodGet, Host: p.Host, URL: &url.URL{Path: "/" + r.Key}, Proto: "HTTP/1.1",
 		ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{"X-Trace-Id": {r.ID}, "X-Props": {properties}, "User-Agent": nil}}
-	if len(r.Parts) > 0 { // http.Request.Write would need the value itself
+	if r.Size() > engine.MaxInlineBytes { // http.Request.Write would copy the value
 		out := bytes.NewBuffer(b)
 		fmt.Fprintf(out, "PUT %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n", req.URL.RequestURI(), p.Host, r.Size())
 		delete(req.Header, "User-Agent")
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"minttray/internal/deadline"
@@ -50,6 +51,16 @@
 	conn      *conn
 	stage     stage
 	cancelled bool
+
+	requestDropped atomic.Bool
+}
+
+// dropRequest records that the attempt no longer reads its request's value: it has been written, or never will be. Further calls
+// have no effect.
+func (a *attempt) dropRequest() {
+	if !a.requestDropped.Swap(true) {
+		a.request.Drop()
+	}
 }
 
 // assign hands an attempt to a connection. The caller holds the pool's mutex.
@@ -124,6 +135,7 @@
 		return
 	}
 	attemptDeadline, err := c.send(a)
+	a.dropRequest()
 	if errors.Is(err, deadline.ErrNoTime) {
 		c.failUnwritten(a, err)
 		return
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -21,8 +21,8 @@
 
 // Protocol encodes requests and decodes responses.
 type Protocol interface {
-	// AppendRequest appends an encoded request to b, with the deadline of this attempt. It omits a value in parts: the
-	// caller inserts the value at valueOffset, which is 0 if there is none.
+	// AppendRequest appends an encoded request to b, with the deadline of this attempt. It omits a value longer than
+	// engine.MaxInlineBytes: the caller inserts the request's pieces at valueOffset, which is 0 if there is nothing to insert.
 	AppendRequest(b []byte, r *engine.Request, attemptDeadline deadline.AttemptDeadline) (encoded []byte, valueOffset int)
 	// NewResponseReader returns a reader for the responses of one connection.
 	NewResponseReader(r io.Reader) ResponseReader
@@ -66,6 +66,7 @@
 
 // Push makes an attempt on the most recently used idle connection whose reuse delay is over, or on a new connection.
 func (p *Pool) Push(r *engine.Request, until time.Time, done func(engine.Result)) func(engine.AbortCondition) bool {
+	r.Hold()
 	a := &attempt{request: r, responseDeadline: until, complete: done}
 	p.dispatch(a)
 	return func(condition engine.AbortCondition) bool { return p.cancel(a, condition) }
@@ -77,6 +78,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if a.cancelled {
+		a.dropRequest()
 		return
 	}
 	reusableBefore := time.Now().Add(-reuseDelay)
@@ -121,6 +123,7 @@
 
 // fail reports the failure of an attempt.
 func (p *Pool) fail(a *attempt, progress Progress, err error) {
+	a.dropRequest()
 	attemptErr := &AttemptError{progress, p.addr, err}
 	a.complete(engine.Result{Outcome: attemptErr.Outcome(), Err: attemptErr})
 }
@@ -142,6 +145,7 @@
 	c := &conn{pool: p, netConn: netConn, responses: p.protocol.NewResponseReader(netConn), attempts: make(chan *attempt, 1)}
 	p.mu.Lock()
 	if a.cancelled {
+		a.dropRequest()
 		c.makeIdle() // kept for the next attempt
 	} else {
 		c.assign(a)
--- a/internal/pool/send.go
+++ b/internal/pool/send.go
@@ -42,7 +42,7 @@
 	return attemptDeadline, err
 }
 
-// write writes a request, inserting the parts of a long value at valueOffset; 0 means that there are none.
+// write writes a request, inserting its value at valueOffset; 0 means that there is nothing to insert.
 func (c *conn) write(r *engine.Request, valueOffset int) error {
 	if valueOffset == 0 {
 		n, err := c.netConn.Write(c.writeBuffer)
@@ -51,7 +51,7 @@
 		}
 		return err
 	}
-	buffers := append(append(net.Buffers{c.writeBuffer[:valueOffset]}, r.Parts...), c.writeBuffer[valueOffset:])
+	buffers := append(append(net.Buffers{c.writeBuffer[:valueOffset]}, r.Pieces()...), c.writeBuffer[valueOffset:])
 	_, err := buffers.WriteTo(c.netConn)
 	return err
 }
