Keep large answers in blocks of a bounded pool, from the server's socket to the client's

Cause: a value of 60 KiB stood in memory up to five times on its way back: a read buffer grown in five steps, the result's copy, the answer's copy, the writer's copy of all answers. None was bounded before the value had been read; past the bound any client with more than its share was disconnected, also one that was reading. Change: a value over 2 KiB takes a block before it is read, goes from the server's socket into it and from there to the client's (writev, one call as before), and the block is given back after the write. Without a block the server's bytes stay in the kernel, until the request's deadline; the attempt then ends as cancelled, which blames no server. While attempts wait, the connection that has been writing a large value for longest is closed, if that is over 100 ms. The lag responder takes a hold of its own.

--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -3,18 +3,21 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"math"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/tidwall/redcon"
 
 	"minttray/internal/buffer"
 	"minttray/internal/deadline"
 	"minttray/internal/engine"
+	"minttray/internal/memory"
 	"minttray/internal/pool"
 	"minttray/internal/resp"
 	"minttray/internal/settings"
@@ -27,6 +30,8 @@
 	LatencyField string // time that an operation takes, in milliseconds
 	WaitingField string // number of operations waiting
 	RateField    string // operations completed per second
+
+	Values *memory.Pool // lends the memory of values over engine.MaxInlineBytes; nil: unlimited
 }
 
 // AppendRequest appends the command as the client sent it, except for the deadline, which is the attempt's own. For a value that is not
@@ -81,6 +86,9 @@
 
 func (rr *responseReader) ReadResponse(r *engine.Request) (engine.Result, bool, error) {
 	for {
+		if tooLong := rr.largeValue(); tooLong != nil && !r.Probe {
+			return rr.readLargeValue(r, tooLong)
+		}
 		var n int
 		var res engine.Result
 		var err error
@@ -111,6 +119,67 @@
 	}
 }
 
+// largeValue returns the place of a value that begins in the buffer and is kept in a block, or nil if there is none.
+func (rr *responseReader) largeValue() *resp.BulkTooLongError {
+	_, err := inlineResponseLimits.CheckArray(rr.buf.Bytes())
+	var tooLong *resp.BulkTooLongError
+	if errors.As(err, &tooLong) && tooLong.ArrayLength == responseLimits.MaxElements && tooLong.Index == 0 && tooLong.Length > 0 &&
+		tooLong.Length <= engine.MaxContiguousBytes {
+		return tooLong
+	}
+	return nil
+}
+
+// readLargeValue reads a response whose value is kept in a block. While no block is left it reads nothing, until the request's
+// deadline: the server's bytes wait in the kernel.
+func (rr *responseReader) readLargeValue(r *engine.Request, announced *resp.BulkTooLongError) (res engine.Result, keep bool, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), r.Deadline.Remaining(time.Now()))
+	defer cancel()
+	block, err := rr.Values.Acquire(ctx)
+	if err != nil {
+		return res, false, err
+	}
+	defer func() {
+		if err != nil {
+			block.Release()
+		}
+	}()
+	rr.buf.Discard(announced.Offset)
+	value := block.Bytes()[:announced.Length]
+	n := copy(value, rr.buf.Bytes())
+	rr.buf.Discard(n)
+	if _, err := io.ReadFull(rr.source, value[n:]); err != nil {
+		return res, false, err
+	}
+	if res, err = rr.readTrailer(); err != nil {
+		return engine.Result{}, false, err
+	}
+	res.Outcome, res.Value, res.Block = policy.Acked, value, block
+	return res, true, nil
+}
+
+// readTrailer reads what follows a value that was read apart: its line end, the result word and the load report.
+func (rr *responseReader) readTrailer() (engine.Result, error) {
+	const nullValue = "*3\r\n$-1" // in place of the value, so that the whole is a response
+	for {
+		if len(rr.buf.Bytes()) > 0 {
+			n, res, err := parseResponse(append([]byte(nullValue), rr.buf.Bytes()...), rr.LatencyField)
+			if err != nil {
+				return res, err
+			}
+			if n > 0 {
+				rr.buf.Discard(n - len(nullValue))
+				return res, nil
+			}
+		}
+		if err := rr.buf.Fill(rr.source); errors.Is(err, buffer.ErrFull) {
+			return engine.Result{}, invalidResponse(err)
+		} else if err != nil {
+			return engine.Result{}, err
+		}
+	}
+}
+
 // StreamValue writes an announced value to w. It closes w only if the value is followed by a line end where its length says.
 func (rr *responseReader) StreamValue(w *io.PipeWriter) (keep bool, err error) {
 	r := pool.WithReadTimeout(rr.source)
@@ -164,6 +233,9 @@
 // responseLimits limits a response: an array of the value, the result word and the load report, each of which may be null.
 var responseLimits = resp.Limits{MaxElements: 3, MaxBulkLength: engine.MaxContiguousBytes, AllowNull: true}
 
+// inlineResponseLimits limits a response that is parsed in the read buffer.
+var inlineResponseLimits = resp.Limits{MaxElements: responseLimits.MaxElements, MaxBulkLength: engine.MaxInlineBytes, AllowNull: true}
+
 // trailerLimits limits what follows a streamed value: the result word and the load report.
 var trailerLimits = resp.Limits{MaxElements: 2, MaxBulkLength: responseLimits.MaxBulkLength, AllowNull: true}
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -131,6 +131,7 @@
 		learned = snapshots.load()
 	}
 	stallMonitor := pulse.New(time.Now())
+	answerBlocks := memory.NewPool(memoryBytes / 16)
 	eng := engine.New(engine.Options{
 		StallMonitor: stallMonitor,
 		CachesOut:    overrides.CachesOut,
@@ -146,9 +147,9 @@
 		MaxBytes:     memoryBytes / 8,
 		Connect: func(m engine.Member) engine.Server {
 			if m.Kind == s.Policy.OriginKind {
-				return pool.New(pools, m.Addr, origin.Protocol{Host: m.Addr})
+				return pool.New(pools, m.Addr, origin.Protocol{Host: m.Addr, Values: answerBlocks})
 			}
-			return pool.New(pools, m.Addr, caches.Protocol{LatencyField: s.PaceField, WaitingField: s.WaitingField, RateField: s.RateField})
+			return pool.New(pools, m.Addr, caches.Protocol{LatencyField: s.PaceField, WaitingField: s.WaitingField, RateField: s.RateField, Values: answerBlocks})
 		},
 	})
 	listNames := discovery.NewNameTable(s.Zones, s.Kinds, log)
@@ -173,10 +174,12 @@
 			Commands:   memory.NewPool(memoryBytes / 32),
 			Values:     memory.NewPool(memoryBytes / 16),
 			LongValues: memory.NewPool(memoryBytes / 2),
+			Answers:    answerBlocks,
 		},
 		Log:   log,
 		Pulse: stallMonitor,
 	}
+	answerBlocks.OnShort(frontEnd.ReclaimValues)
 	coordinator.front = frontEnd
 	coordinator.engine = eng
 	if handover.beside && handover.sharedIDs == nil {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -453,8 +453,8 @@
 			index = i
 		}
 	}
-	if r.Body.Size > 0 && (index < 0 || record.ended) {
-		r.Body.Close() // nobody reads it
+	if index < 0 || record.ended {
+		r.drop() // nobody reads it
 	}
 	if index < 0 {
 		return // the push was aborted earlier and its outcome reported then
@@ -469,13 +469,10 @@
 	if r.Outcome == policy.Acked && !record.ended {
 		e.Counters.Acked++
 		e.endOp(record)
-		if claimed := e.claimAnswer(record); !claimed && r.Body.Size > 0 {
-			r.Body.Close()
-		} else if !claimed { // the client already has its answer
-		} else if r.Body.Size > 0 {
-			record.Reply.Streamed(r.Body) // the op is not retried if the stream fails: the cache's bytes go straight to the client
+		if !e.claimAnswer(record) { // the client already has its answer
+			r.drop()
 		} else {
-			record.Reply.Acked(r.Value)
+			r.deliver(record.Reply)
 		}
 	}
 	if r.Err != nil {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -16,6 +16,7 @@
 	"minttray/decide/evidence"
 	"minttray/decide/warm"
 	"minttray/internal/deadline"
+	"minttray/internal/memory"
 	"minttray/policy"
 )
 
@@ -110,7 +111,11 @@
 	id string
 }
 
-func (r fakeReply) Acked(value []byte)            { r.s.record("acked %s %s", r.id, value) }
+func (r fakeReply) Acked(value []byte) { r.s.record("acked %s %s", r.id, value) }
+func (r fakeReply) AckedBlock(value []byte, block *memory.Block) {
+	r.Acked(value)
+	block.Release()
+}
 func (r fakeReply) Streamed(body Body)            { r.s.record("streamed %s %d", r.id, body.Size) }
 func (r fakeReply) Nacked(comeBack time.Duration) { r.s.record("nacked %s", r.id) }
 func (r fakeReply) DeadLettered()                 { r.s.record("dead-lettered %s", r.id) }
--- a/internal/engine/lag.go
+++ b/internal/engine/lag.go
@@ -79,7 +79,7 @@
 // overloadState returns the op's state as input to the overload decision.
 func (o *Op) overloadState(now time.Time) overload.Request {
 	return overload.Request{Waited: overload.Time(now.Sub(o.ReceivedAt)), Remaining: overload.Time(o.Remaining(now)),
-		Attempted: progress(o.progress.Load()) == opBegun, Answered: o.ackedValue.Load() != nil}
+		Attempted: progress(o.progress.Load()) == opBegun, Answered: o.acked.Load() != nil}
 }
 
 // answerDue answers the ops for which the decision is not Wait.
@@ -108,11 +108,14 @@
 	}
 	o.Request.Abandon() // nobody waits for it any more: no further byte of a push is written
 	r.engine.noteAnswered(o, true)
-	value := o.ackedValue.Load()
+	acked := o.acked.Load()
 	switch {
-	case value != nil:
+	case acked != nil && acked.Block == nil:
 		r.Served.Add(1)
-		o.Reply.Acked(*value)
+		o.Reply.Acked(acked.Value)
+	case acked != nil && acked.Block.TryHold(): // the engine's goroutine may have found the op answered and released the value
+		r.Served.Add(1)
+		o.Reply.AckedBlock(acked.Value, acked.Block)
 	case action == overload.Refuse:
 		r.Refused.Add(1)
 		o.Reply.Nacked(0)
--- a/internal/engine/policy_host.go
+++ b/internal/engine/policy_host.go
@@ -33,7 +33,7 @@
 	o.Trace.Pushes.Add(1)
 	p.abort = s.Push(&record.Request, e.clockTime(until), func(r Result) {
 		if r.Outcome == policy.Acked && r.Body.Size == 0 {
-			o.ackedValue.Store(&r.Value)
+			o.acked.Store(&r)
 		}
 		e.queue.put(answerEvent, func() { e.pushEnded(record, p, r) })
 	})
--- a/internal/engine/settings_test.go
+++ b/internal/engine/settings_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"minttray/internal/deadline"
+	"minttray/internal/memory"
 	"minttray/internal/settings"
 	"minttray/policy"
 )
@@ -191,7 +192,11 @@
 	id string
 }
 
-func (o answerCounter) Acked([]byte)         { o.s.answers[o.id]++ }
+func (o answerCounter) Acked([]byte) { o.s.answers[o.id]++ }
+func (o answerCounter) AckedBlock(_ []byte, block *memory.Block) {
+	o.s.answers[o.id]++
+	block.Release()
+}
 func (o answerCounter) Streamed(Body)        { o.s.answers[o.id]++ }
 func (o answerCounter) Nacked(time.Duration) { o.s.answers[o.id]++ }
 func (o answerCounter) DeadLettered()        { o.s.answers[o.id]++ }
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -11,6 +11,7 @@
 	"minttray/decide/evidence"
 	"minttray/decide/warm"
 	"minttray/internal/deadline"
+	"minttray/internal/memory"
 	"minttray/policy"
 )
 
@@ -37,6 +38,9 @@
 // end the op while the request is being written.
 func (r *Request) Hold() { r.holders.Add(1) }
 
+// Holders returns the number of Holds that have not been dropped.
+func (r *Request) Holders() int { return int(r.holders.Load()) }
+
 // Drop ends a Hold.
 func (r *Request) Drop() {
 	if r.holders.Add(-1) == 0 && r.onUnused != nil {
@@ -91,13 +95,14 @@
 	clientWait time.Duration // how long the client waits, from ReceivedAt; set by Submit
 	record     *opRecord     // the engine's record, nil until the op has arrived there
 	progress   atomic.Uint32
-	ackedValue atomic.Pointer[[]byte] // value of the first push that was acked
+	acked      atomic.Pointer[Result] // of a push that was acked with a value, which may not have reached the engine's goroutine yet
 }
 
 // Replier receives an op's single final answer. Calls come from the engine's goroutine, or the lag responder's while the engine lags, and
 // must not block.
 type Replier interface {
 	Acked(value []byte)
+	AckedBlock(value []byte, block *memory.Block) // the receiver releases the block, which holds the value
 	Streamed(body Body)
 	Nacked(retryAfter time.Duration) // retryAfter 0: no advice on when to retry
 	DeadLettered()
@@ -115,15 +120,36 @@
 	Outcome         policy.Outcome
 	Missed          bool // the cache reported that it fetched from the origin
 	Value           []byte
-	Body            Body        // replaces Value if its size is above 0
-	Err             error       // for logging only
-	ReportedLatency policy.Time // latency per op in the cache's load report; 0: no report
-	ReportInvalid   bool        // a load report was present but unusable
+	Block           *memory.Block // holds the value; nil: the value is allocated
+	Body            Body          // replaces Value if its size is above 0
+	Err             error         // for logging only
+	ReportedLatency policy.Time   // latency per op in the cache's load report; 0: no report
+	ReportInvalid   bool          // a load report was present but unusable
 	// Contents of the load report that answers a probe: queued ops, and ops completed per second.
 	QueueLength  float64
 	OpsPerSecond float64
 }
 
+// deliver answers a request with the value of an acked push.
+func (r *Result) deliver(reply Replier) {
+	switch {
+	case r.Body.Size > 0:
+		reply.Streamed(r.Body) // the op is not retried if the stream fails: the cache's bytes go straight to the client
+	case r.Block != nil:
+		reply.AckedBlock(r.Value, r.Block)
+	default:
+		reply.Acked(r.Value)
+	}
+}
+
+// drop ends a result that is not delivered.
+func (r *Result) drop() {
+	if r.Body.Size > 0 {
+		r.Body.Close()
+	}
+	r.Block.Release()
+}
+
 // AbortCondition limits a call to abort a push to pushes that have not got beyond a given point.
 type AbortCondition uint8
 
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -68,6 +68,8 @@
 	halfClosed        bool         // all is answered and the proxy's sending side is closed; the client's end of stream is awaited
 	readStopped       bool         // no further command is read
 	writing           bool         // answers removed from slots are being written
+	writingValue      bool         // one of them is a value in a block
+	writingSince      time.Time    // valid while writing
 	evicted           bool         // closes to make room for another connection
 	inputRechecked    bool         // the closing reader has checked once for a first command that arrived unread
 	closed            bool
@@ -189,7 +191,7 @@
 		if s.op != nil && s.answer == nil {
 			abandoned = append(abandoned, s.op)
 		}
-		s.closeBody()
+		s.closePayload()
 		s.recordOutcome(c.server, false)
 	}
 	if c.streaming != nil {
--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -223,7 +223,7 @@
 		if errors.Is(err, engine.ErrDuplicateID) {
 			// The op that has this id is left untouched: its value belongs to its own client alone.
 			c.server.duplicates.Add(1)
-			s.setAnswer(figures.Failed, errorLine(err), engine.Body{})
+			s.answerLine(figures.Failed, errorLine(err))
 			c.badCommands++
 			return true
 		}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -36,6 +36,7 @@
 	Commands   *memory.Pool // read buffers of commands that are long without their value
 	Values     *memory.Pool // values of writes, up to engine.MaxContiguousBytes
 	LongValues *memory.Pool // parts of longer values; Server.MaxLongValueBytes limits them as a whole
+	Answers    *memory.Pool // large values on their way to clients, lent by the wires to the servers
 }
 
 // Server serves clients.
--- a/internal/front/slot.go
+++ b/internal/front/slot.go
@@ -8,6 +8,7 @@
 
 	"minttray/internal/engine"
 	"minttray/internal/figures"
+	"minttray/internal/memory"
 )
 
 // slot is one command's place in the order of answers. It is the Replier of the command's op.
@@ -18,46 +19,74 @@
 	outcome figures.Outcome // of the answer; counted once it is written
 	answer  []byte          // nil until there is one; the head of the answer if there is a body
 	body    engine.Body     // of a long value, written after answer
+	value   []byte          // of a large value, written after answer with a line end behind it
+	block   *memory.Block   // that holds value
+}
+
+// hasPayload reports whether a value is written after the slot's answer.
+func (s *slot) hasPayload() bool { return s.body.Size > 0 || s.block != nil }
+
+// size returns the number of bytes of the answer that are held until it is written.
+func (s *slot) size() int {
+	if s.block == nil {
+		return len(s.answer)
+	}
+	return len(s.answer) + len(s.value) + len(lineEnd)
 }
 
 // Acked answers with a value.
 func (s *slot) Acked(value []byte) {
-	s.setAnswer(figures.Served, redcon.AppendBulk(make([]byte, 0, len(value)+16), value), engine.Body{})
+	s.setAnswer(figures.Served, redcon.AppendBulk(make([]byte, 0, len(value)+16), value), engine.Body{}, nil, nil)
+}
+
+// AckedBlock answers with a large value, which is written from its block.
+func (s *slot) AckedBlock(value []byte, block *memory.Block) {
+	s.setAnswer(figures.Served, bulkHead(len(value)), engine.Body{}, value, block)
 }
 
 // Streamed answers with a long value that is copied as it arrives.
 func (s *slot) Streamed(body engine.Body) {
-	s.setAnswer(figures.Served, append(strconv.AppendInt([]byte("$"), int64(body.Size), 10), "\r\n"...), body)
+	s.setAnswer(figures.Served, bulkHead(body.Size), body, nil, nil)
+}
+
+// bulkHead returns the length line of a bulk string.
+func bulkHead(size int) []byte {
+	return append(strconv.AppendInt([]byte("$"), int64(size), 10), lineEnd...)
+}
+
+// answerLine sets an answer of one line.
+func (s *slot) answerLine(outcome figures.Outcome, line []byte) {
+	s.setAnswer(outcome, line, engine.Body{}, nil, nil)
 }
 
 // Nacked refuses the request. A retryAfter above 0 is sent along, rounded up to milliseconds.
 func (s *slot) Nacked(retryAfter time.Duration) {
 	if ms := int64((retryAfter + time.Millisecond - 1) / time.Millisecond); ms > 0 {
-		s.setAnswer(figures.Refused, []byte("-BUSY "+strconv.FormatInt(ms, 10)+"\r\n"), engine.Body{})
+		s.answerLine(figures.Refused, []byte("-BUSY "+strconv.FormatInt(ms, 10)+"\r\n"))
 		return
 	}
-	s.setAnswer(figures.Refused, []byte("-BUSY\r\n"), engine.Body{})
+	s.answerLine(figures.Refused, []byte("-BUSY\r\n"))
 }
 
 // DeadLettered reports a request whose effect is unknown.
 func (s *slot) DeadLettered() {
-	s.setAnswer(figures.Failed, []byte("-ERR dead-lettered: it may have run\r\n"), engine.Body{})
+	s.answerLine(figures.Failed, []byte("-ERR dead-lettered: it may have run\r\n"))
 }
 
 // setAnswer records the slot's only answer. All of it is set under the mutex: when the client leaves at that moment,
 // another goroutine closes the slots.
-func (s *slot) setAnswer(outcome figures.Outcome, answer []byte, body engine.Body) {
+func (s *slot) setAnswer(outcome figures.Outcome, answer []byte, body engine.Body, value []byte, block *memory.Block) {
 	c := s.conn
 	c.mu.Lock()
-	s.body = body
+	s.body, s.value, s.block = body, value, block
 	if c.closed {
 		c.mu.Unlock()
-		s.closeBody()
+		s.closePayload()
 		return
 	}
 	s.answer, s.outcome = answer, outcome
-	c.unwrittenBytes += len(answer)
-	total := c.server.unwrittenBytes.Add(int64(len(answer)))
+	c.unwrittenBytes += s.size()
+	total := c.server.unwrittenBytes.Add(int64(s.size()))
 	isFirst := c.slots[0] == s
 	// Above the bound for all clients, a client with more unread bytes than an equal share is disconnected: a few slow
 	// readers must not take the memory that all clients share.
@@ -73,11 +102,13 @@
 	}
 }
 
-// closeBody closes a long value that is not read to its end.
-func (s *slot) closeBody() {
+// closePayload gives up a value that is not written, or not to its end.
+func (s *slot) closePayload() {
 	if s.body.Size > 0 {
 		s.body.Close()
 	}
+	s.block.Release()
+	s.block, s.value = nil, nil
 }
 
 // logAnswered logs a request whose answer has been written, or could not be.
--- a/internal/front/writer.go
+++ b/internal/front/writer.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -31,24 +32,30 @@
 	var batch []slot // whose answers are in output
 	for range c.wake {
 		c.mu.Lock()
-		n := 0 // length of the batch; an answer with a body ends it, since the body is written before the next answer
-		for n < len(c.slots) && c.slots[n].answer != nil && (n == 0 || c.slots[n-1].body.Size == 0) {
+		if c.closed { // abort has settled what its slots owe
+			c.mu.Unlock()
+			return
+		}
+		n := 0 // length of the batch; an answer with a payload ends it, since the payload is written before the next answer
+		for n < len(c.slots) && c.slots[n].answer != nil && (n == 0 || !c.slots[n-1].hasPayload()) {
 			output = append(output, c.slots[n].answer...)
-			batch = append(batch, slot{op: c.slots[n].op, class: c.slots[n].class, outcome: c.slots[n].outcome, body: c.slots[n].body})
+			batch = append(batch, *c.slots[n])
 			n++
 		}
 		c.slots = slices.Delete(c.slots, 0, n) // clears the places behind the end, which would retain answered requests
-		closed := c.closed
-		c.writing = n > 0 && !closed
-		c.mu.Unlock()
-		if closed {
-			return
+		c.writing = n > 0
+		written := 0 // bytes that the batch holds
+		if n > 0 {
+			c.writingSince, c.writingValue = time.Now(), batch[n-1].block != nil
+			written = len(output) + batch[n-1].size() - len(batch[n-1].answer)
 		}
+		c.mu.Unlock()
 		if len(output) > 0 {
 			c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 			reason := writeFailed
-			_, err := c.nc.Write(output)
-			for _, s := range batch {
+			err := c.writeBatch(output, &batch[len(batch)-1])
+			for i := range batch {
+				s := &batch[i]
 				if err == nil && s.body.Size > 0 { // the last of the batch
 					if err = c.streamBody(s.body); err != nil {
 						reason = streamFailed
@@ -58,7 +65,7 @@
 						break
 					}
 				}
-				s.closeBody()
+				s.closePayload()
 				s.recordOutcome(c.server, err == nil)
 				s.logAnswered(c.server, err)
 			}
@@ -75,8 +82,8 @@
 			c.beginClose()
 		}
 		if !c.closed {
-			c.unwrittenBytes -= len(output)
-			c.server.unwrittenBytes.Add(-int64(len(output)))
+			c.unwrittenBytes -= written
+			c.server.unwrittenBytes.Add(-int64(written))
 		}
 		c.lastActive = time.Now()
 		c.spaceFreed.Signal()
@@ -101,6 +108,17 @@
 	}
 }
 
+// writeBatch writes the answers of a batch, and the value in a block that its last answer may have, in one system call.
+func (c *conn) writeBatch(output []byte, last *slot) error {
+	if last.block == nil {
+		_, err := c.nc.Write(output)
+		return err
+	}
+	buffers := net.Buffers{output, last.value, []byte(lineEnd)}
+	_, err := buffers.WriteTo(c.nc)
+	return err
+}
+
 // streamBody copies a long value to the client as it arrives. The final line end is written only if the cache has sent
 // exactly body.Size bytes: otherwise the client must recognise the truncation by the close of the connection.
 func (c *conn) streamBody(body engine.Body) error {
--- a/internal/memory/pool.go
+++ b/internal/memory/pool.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/sync/semaphore"
 )
@@ -39,7 +40,7 @@
 	return &Pool{limit: blocks, slots: semaphore.NewWeighted(blocks)}
 }
 
-// OnShort sets a function that is called whenever an acquisition finds no block, before it waits. It must not block.
+// OnShort sets a function that is called while an acquisition finds no block, at intervals. It must not block.
 func (p *Pool) OnShort(f func()) { p.onShort.Store(&f) }
 
 // Block is a block that was lent. It returns to its pool when its last holder releases it.
@@ -71,16 +72,26 @@
 		return b, nil
 	}
 	p.waits.Add(1)
-	if f := p.onShort.Load(); f != nil {
-		(*f)()
-	}
-	if p.slots.Acquire(ctx, 1) != nil {
-		p.refused.Add(1)
-		return nil, ErrNoMemory
+	for {
+		if f := p.onShort.Load(); f != nil {
+			(*f)()
+		}
+		turn, cancel := context.WithTimeout(ctx, shortageInterval)
+		err := p.slots.Acquire(turn, 1)
+		cancel()
+		if err == nil {
+			return p.lend(), nil
+		}
+		if ctx.Err() != nil {
+			p.refused.Add(1)
+			return nil, ErrNoMemory
+		}
 	}
-	return p.lend(), nil
 }
 
+// shortageInterval is the time between two calls of the function of OnShort while an acquisition waits.
+const shortageInterval = 50 * time.Millisecond
+
 // lend returns a block for a slot that was acquired.
 func (p *Pool) lend() *Block {
 	p.lent.Add(1)
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -5,15 +5,18 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/url"
+	"time"
 
 	"minttray/internal/deadline"
 	"minttray/internal/engine"
+	"minttray/internal/memory"
 	"minttray/internal/pool"
 	"minttray/policy"
 )
@@ -27,6 +30,8 @@
 // Protocol is the origin's HTTP/1.1 dialect.
 type Protocol struct {
 	Host string // the origin's address, host:port, as listed by discovery
+
+	Values *memory.Pool // lends the memory of values over engine.MaxInlineBytes; nil: unlimited
 }
 
 // AppendRequest appends GET /KEY, or PUT /KEY with the value. The properties are forwarded unchanged, except for the deadline, which is
@@ -55,12 +60,13 @@
 }
 
 // NewResponseReader returns a reader for the responses of one connection.
-func (Protocol) NewResponseReader(r io.Reader) pool.ResponseReader {
+func (p Protocol) NewResponseReader(r io.Reader) pool.ResponseReader {
 	limited := &io.LimitedReader{R: r}
-	return &responseReader{limited: limited, reader: bufio.NewReader(limited)}
+	return &responseReader{values: p.Values, limited: limited, reader: bufio.NewReader(limited)}
 }
 
 type responseReader struct {
+	values  *memory.Pool
 	limited *io.LimitedReader // limits the bytes of one response
 	reader  *bufio.Reader
 
@@ -128,18 +134,17 @@
 		// Such a body ends with the connection: a complete value can't be told from a truncated one.
 		return engine.Result{}, false, invalidResponse("body without a length")
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxValueBytes+1))
+	body, block, err := rr.readBody(r, resp.Body)
 	if err != nil {
-		return engine.Result{}, false, invalidResponse(err)
-	}
-	if len(body) > maxValueBytes {
-		return engine.Result{}, false, invalidResponse(fmt.Sprintf("chunked body exceeds %d bytes", maxValueBytes))
+		return engine.Result{}, false, err
 	}
 	resp.Body.Close()
 	keep := !resp.Close
+	if resp.StatusCode == http.StatusOK {
+		return engine.Result{Outcome: policy.Acked, Value: body, Block: block}, keep, nil
+	}
+	block.Release()
 	switch {
-	case resp.StatusCode == http.StatusOK:
-		return engine.Result{Outcome: policy.Acked, Value: body}, keep, nil
 	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Never-Ran") == "1":
 		return engine.Result{Outcome: policy.Rejected}, keep, nil
@@ -147,3 +152,41 @@
 		return engine.Result{Outcome: policy.Errored, Err: errors.New("origin: " + resp.Status)}, keep, nil
 	}
 }
+
+// readBody reads a body to its end. One longer than engine.MaxInlineBytes is kept in a block; while none is left nothing is read,
+// until the request's deadline.
+func (rr *responseReader) readBody(r *engine.Request, source io.Reader) (body []byte, block *memory.Block, err error) {
+	body, err = io.ReadAll(io.LimitReader(source, engine.MaxInlineBytes))
+	if err != nil {
+		return nil, nil, invalidResponse(err)
+	}
+	if len(body) < engine.MaxInlineBytes {
+		return body, nil, nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), r.Deadline.Remaining(time.Now()))
+	defer cancel()
+	if block, err = rr.values.Acquire(ctx); err != nil {
+		return nil, nil, err
+	}
+	n, err := readAllInto(block.Bytes()[:maxValueBytes+1], copy(block.Bytes(), body), source)
+	if err != nil {
+		block.Release()
+		return nil, nil, err
+	}
+	return block.Bytes()[:n], block, nil
+}
+
+// readAllInto reads a body to its end into dest, whose first n bytes are taken. A body that fills dest is too long.
+func readAllInto(dest []byte, n int, source io.Reader) (int, error) {
+	for n < len(dest) {
+		read, err := source.Read(dest[n:])
+		n += read
+		if err == io.EOF && n < len(dest) {
+			return n, nil
+		}
+		if err != nil && err != io.EOF {
+			return 0, invalidResponse(err)
+		}
+	}
+	return 0, invalidResponse(fmt.Sprintf("chunked body exceeds %d bytes", maxValueBytes))
+}
--- a/internal/pool/attempt_error.go
+++ b/internal/pool/attempt_error.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 
+	"minttray/internal/memory"
 	"minttray/policy"
 )
 
@@ -38,7 +39,7 @@
 // connection lost before the request was fully written, says nothing about the server and must not exclude a healthy cache.
 func (e *AttemptError) Outcome() policy.Outcome {
 	switch {
-	case errors.Is(e.Err, errNoValueMemory):
+	case errors.Is(e.Err, errNoValueMemory), errors.Is(e.Err, memory.ErrNoMemory):
 		return policy.Cancelled
 	case e.Progress >= FullyWritten:
 		return policy.ConnectionLost
