Give connections that send without a pause their turn, and drop what a client left unread

Cause: a reader with input at hand never left the processor: with the writer that it woke it went on, back and forth, for a time slice of 10 ms, while each step of another client's request waited. All readers could do so at once. Each connection could hold 256 commands, with the writer's copies of them, and the search for a connection to evict waited for the lock of each. Change: a connection that has found input at once in two reads takes a turn for each further one, of two for each core; the turn lets all ready goroutines run first, and is given back before any wait. Commands not yet taken up for writing are bounded for all clients together, above 16 for each connection. Without room, a connection that floods is closed between two of its commands. Answers that never change are shared.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,6 +46,7 @@
 	// minCountersInterval is the shortest configurable time between two lines of counters. It keeps the log small.
 	minCountersInterval = 100 * time.Millisecond
 
+	commandBytes       = 256     // of a command that is not yet answered
 	defaultMemory      = 1 << 30 // bytes, if the configuration sets no limit
 	defaultMaxOps      = 1 << 16 // open ops, if the settings set no limit
 	defaultDialTimeout = time.Second
@@ -170,6 +171,7 @@
 		Metrics:           metrics,
 		MaxPendingBytes:   memoryBytes / 8,
 		MaxLongValueBytes: memoryBytes / 4,
+		MaxCommands:       memoryBytes / 32 / commandBytes,
 		Blocks: front.BlockPools{
 			Commands:   memory.NewPool(memoryBytes / 32),
 			Values:     memory.NewPool(memoryBytes / 16),
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -14,6 +14,9 @@
 	// admissionPollInterval is the longest time between two attempts to admit a waiting connection.
 	admissionPollInterval = 5 * time.Millisecond
 
+	// evictionScanInterval is the shortest time between two searches for a connection to evict while there is room.
+	evictionScanInterval = 5 * time.Millisecond
+
 	// overflowDivisor bounds the connections above MaxConns to MaxConns/overflowDivisor. Their requests are refused,
 	// so that their clients learn that there is no room.
 	overflowDivisor = 16
@@ -57,8 +60,9 @@
 	defer srv.mu.Unlock()
 	maxConns := int(srv.MaxConns.Load())
 	hasRoom, evicting := len(srv.conns) < maxConns, false
-	if len(srv.conns) >= maxConns/2 {
-		candidate, evicting = srv.evictionCandidate(time.Now().Add(-activityGrace), hasRoom)
+	if now := time.Now(); !hasRoom || len(srv.conns) >= maxConns/2 && now.Sub(srv.lastEvictionScan) >= evictionScanInterval {
+		srv.lastEvictionScan = now
+		candidate, evicting = srv.evictionCandidate(now.Add(-activityGrace), hasRoom)
 	}
 	waitExceeded := waited >= admissionTimeout || waited >= overflowWait && candidate == nil && !evicting
 	overflow := !hasRoom && waitExceeded && len(srv.conns) < maxConns+max(maxConns/overflowDivisor, 1)
@@ -72,27 +76,35 @@
 	return c, candidate
 }
 
-// evictionCandidate selects the connection to evict. It never selects one with pending work, nor one that has sent no
-// command yet but has unread input. The order is: the oldest connection that has never sent a command; one that is
-// half-closed after its last answer has been delivered; then the longest idle one. Connections active after cutoff are spared, so that new
-// clients get time to send. A silent one among them is selected only if there is no other, or if silent ones exceed a
-// third of the limit: they arrive by hundreds, with good clients among them.
+// evictionCandidate selects the connection to evict. It never selects one that has sent no command yet but has unread
+// input, nor, with the exception of floods, one with pending work. The order is: the oldest connection that has never sent a
+// command; one that is half-closed after its last answer has been delivered; the one whose client has sent without a pause for
+// longest, since clients send commands that were not read again on another connection; then the longest idle one. Connections
+// active after cutoff are spared, so that new clients get time to send. A silent one among them is selected only if there is no
+// other, or if silent ones exceed a third of the limit: they arrive by hundreds, with good clients among them.
 //
 // While there is room, an idle connection is evicted only if idle ones exceed half of the limit: the number of
 // connections that clients can hold is limited too, and idle ones would leave them none to open. One connection is
 // evicted at a time: evicting reports that an eviction is under way. The server's mutex is held.
 func (srv *Server) evictionCandidate(cutoff time.Time, hasRoom bool) (chosen *conn, evicting bool) {
-	var silent, idle, halfClosed *conn
+	var silent, idle, halfClosed, flooding *conn
 	silentCount, idleCount, maxConns := 0, 0, int(srv.MaxConns.Load())
 	for c := range srv.conns {
-		c.mu.Lock()
+		if !c.mu.TryLock() { // it is in use, and the server's mutex must not be held for long
+			continue
+		}
 		evicting = evicting || c.evicted && c.workState() == workNone
 		switch {
 		case c.halfClosed:
 			if c.lastActive.Before(cutoff) && unackedOutput(c.nc) == 0 {
 				halfClosed = c
 			}
-		case c.closing || c.workState() != workNone:
+		case c.closing:
+		case c.input.isFlooding():
+			if flooding == nil || c.input.unpaused.Load() > flooding.input.unpaused.Load() {
+				flooding = c
+			}
+		case c.workState() != workNone:
 		case !c.commandSeen:
 			silentCount++
 			if (silent == nil || c.createdAt.Before(silent.createdAt)) && !hasUnreadInput(c.nc) {
@@ -115,6 +127,8 @@
 		return silent, false
 	case halfClosed != nil:
 		return halfClosed, false
+	case flooding != nil:
+		return flooding, false
 	case idle != nil:
 		return idle, false
 	}
--- a/internal/front/arrival_reader.go
+++ b/internal/front/arrival_reader.go
@@ -30,6 +30,8 @@
 	blocked   bool      // it found no input at first
 	wakeBound time.Time // tighter bound, valid if blocked
 	readFunc  func(fd uintptr) (done bool)
+
+	onBlock func() // called when a Read or waitBuffered finds no input; nil: nothing is to be done
 }
 
 // newArrivalReader returns a reader of a connection on which nothing had arrived at emptyAt.
@@ -104,6 +106,7 @@
 				return true
 			}
 			r.emptyAt = before // the last of the bytes is still to come
+			r.noteBlock()
 			if wakeAtLevel {
 				return false
 			}
@@ -117,6 +120,14 @@
 	return err
 }
 
+// hasRemoteClose is the function of this name on the reader's connection, without a wait.
+func (r *arrivalReader) hasRemoteClose() (closed bool) {
+	if r.raw != nil {
+		r.raw.Control(func(fd uintptr) { closed = hasRemoteClose(pollEvents(fd, unix.POLLRDHUP)) })
+	}
+	return closed
+}
+
 // readOnce tries to read without blocking, and records when the socket had no further input.
 func (r *arrivalReader) readOnce(fd uintptr) (done bool) {
 	for {
@@ -130,6 +141,7 @@
 			continue
 		case errors.Is(r.err, syscall.EAGAIN):
 			r.emptyAt, r.readBound, r.blocked = before, before, true
+			r.noteBlock()
 			return false
 		case r.err != nil:
 			r.n = 0
@@ -140,6 +152,12 @@
 	}
 }
 
+func (r *arrivalReader) noteBlock() {
+	if r.onBlock != nil {
+		r.onBlock()
+	}
+}
+
 // receiveBound returns a lower bound of the arrival of input that a blocked reader was woken for. The reader is woken
 // at once, unless the process was not scheduled; then the kernel's time of the last receive is used. It is queried
 // before the read: bytes that arrive in between are taken for older than they are, never for newer.
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -12,6 +12,8 @@
 const (
 	// maxOutstandingCommands bounds the commands of one connection whose answers are not yet taken up for writing.
 	maxOutstandingCommands = 256
+	// minOutstandingCommands is the number of them that a connection may have when all clients together have Server.MaxCommands.
+	minOutstandingCommands = 16
 	// maxUnreadAnswerBytes bounds the bytes of answers that one client has not read.
 	maxUnreadAnswerBytes = 1 << 20
 	// firstCommandTimeout is how long a new connection has to send the first bytes of a command.
@@ -47,6 +49,7 @@
 
 	// Owned by the reader.
 	source        *arrivalReader
+	input         *turnReader // of source
 	buf           buffer.Buffer
 	accountedSize int       // bytes of buf that are included in server.bufferedBytes
 	partialSince  time.Time // when the partial command in buf began to arrive
@@ -95,6 +98,7 @@
 func newConn(srv *Server, nc net.Conn, notBefore time.Time) *conn {
 	c := &conn{server: srv, nc: nc, source: newArrivalReader(nc, notBefore, srv.Pulse), wake: make(chan struct{}, 1), readerDone: make(chan struct{}), createdAt: time.Now()}
 	c.buf.Blocks = srv.Blocks.Commands
+	c.input = newTurnReader(c.source, srv.turns)
 	c.lastActive = c.createdAt
 	c.spaceFreed.L = &c.mu
 	c.readerChanged.L = &c.mu
@@ -186,6 +190,7 @@
 		}
 	}
 	c.server.unwrittenBytes.Add(-int64(c.unwrittenBytes))
+	c.server.commands.Add(-int64(len(c.slots)))
 	var abandoned []*engine.Op
 	for _, s := range c.slots {
 		if s.op != nil && s.answer == nil {
--- a/internal/front/peer.go
+++ b/internal/front/peer.go
@@ -119,9 +119,11 @@
 func (c *conn) hasOpenRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.halfClosed {
-		return false
-	}
+	return !c.closed && !c.halfClosed && c.hasUnansweredRequest()
+}
+
+// hasUnansweredRequest is hasOpenRequest on an open connection with the mutex held.
+func (c *conn) hasUnansweredRequest() bool {
 	for _, s := range c.slots {
 		if s.op != nil && s.answer == nil {
 			return true
--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -29,15 +29,17 @@
 		}
 	}()
 	defer func() {
+		c.input.end()
 		c.server.bufferedBytes.Add(-int64(c.accountedSize))
 		c.buf.Release()
 	}()
 	args := make([][]byte, 0, 8)
 	for {
+		c.input.end()
 		if !c.prepareRead() {
 			return
 		}
-		err := c.buf.Fill(c.source)
+		err := c.buf.Fill(c.input)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			if !c.handleReadTimeout() {
 				return
@@ -232,11 +234,11 @@
 		return true
 	case "PING":
 		if c.server.lameDuck.Load() {
-			return c.reserve(&slot{conn: c, answer: []byte("-ERR sent away: use another proxy\r\n")})
+			return c.reserve(&slot{conn: c, answer: lameDuckLine})
 		}
-		return c.reserve(&slot{conn: c, answer: []byte("+PONG\r\n")})
+		return c.reserve(&slot{conn: c, answer: pongLine})
 	case "CLIENT", "SELECT":
-		return c.reserve(&slot{conn: c, answer: []byte("+OK\r\n")})
+		return c.reserve(&slot{conn: c, answer: okLine})
 	}
 	return c.rejectCommand(&c.server.malformed, errors.New("unknown command '"+name+"'"))
 }
@@ -248,32 +250,46 @@
 	if name != "CACHE.GET" && name != "CACHE.SET" {
 		return true
 	}
-	return c.reserve(&slot{conn: c, answer: []byte("-BUSY\r\n")})
+	return c.reserve(&slot{conn: c, answer: busyLine})
+}
+
+// awaitSpace waits until a further command may be outstanding, or the connection is closed, and then for the connection's turn. The
+// mutex is held, and released meanwhile. Space is freed by the writer, which sees a client that leaves; only open requests need a
+// watch of their own.
+func (c *conn) awaitSpace() {
+	resumeTurn := c.input.suspend()
+	stopWatch := func() {}
+	if c.hasUnansweredRequest() {
+		c.mu.Unlock()
+		stopWatch = c.watchPeer(func() {})
+		c.mu.Lock()
+	}
+	for c.isFull() && !c.closed {
+		c.spaceFreed.Wait()
+	}
+	c.mu.Unlock()
+	stopWatch()
+	resumeTurn()
+	c.mu.Lock()
 }
 
 // isFull reports whether a further command has to wait. The mutex is held.
 func (c *conn) isFull() bool {
-	return len(c.slots) >= maxOutstandingCommands || c.unwrittenBytes >= maxUnreadAnswerBytes
+	return len(c.slots) >= maxOutstandingCommands || c.unwrittenBytes >= maxUnreadAnswerBytes ||
+		len(c.slots) >= minOutstandingCommands && c.server.MaxCommands > 0 && c.server.commands.Load() >= c.server.MaxCommands
 }
 
 // reserve appends a slot, and waits for room first. It returns false if the connection has been closed.
 func (c *conn) reserve(s *slot) bool {
 	c.mu.Lock()
-	if c.isFull() && !c.closed {
-		c.mu.Unlock()
-		stopWatch := c.watchPeer(func() {})
-		c.mu.Lock()
-		for c.isFull() && !c.closed {
-			c.spaceFreed.Wait()
-		}
-		c.mu.Unlock()
-		stopWatch()
-		c.mu.Lock()
+	for c.isFull() && !c.closed {
+		c.awaitSpace()
 	}
 	if c.closed {
 		c.mu.Unlock()
 		return false
 	}
+	c.server.commands.Add(1)
 	if c.slots = append(c.slots, s); s.class != nil {
 		c.server.Metrics.InFlight.Add(1)
 	}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -47,19 +47,22 @@
 	Metrics           *figures.Metrics
 	MaxLongValueBytes int64 // bytes of long values held on their way to servers and to clients, for all clients together
 	MaxPendingBytes   int64 // limit for unwrittenBytes and, separately, for bufferedBytes
+	MaxCommands       int64 // commands of all clients together whose answers are not yet taken up for writing; 0: no limit
 	Blocks            BlockPools
 	Log               zerolog.Logger
 	Pulse             *pulse.Monitor // detects stalls of this process; nil: stalls are not detected
 
-	listener       *net.TCPListener
-	mu             sync.Mutex
-	conns          map[*conn]struct{}
-	connClosed     chan struct{} // receives a value when a connection is closed
-	serveDone      chan struct{} // closed once Serve has returned
-	backlogEmptyAt time.Time     // when the accept queue was last seen empty; owned by Serve, then by Close
+	listener         *net.TCPListener
+	mu               sync.Mutex
+	conns            map[*conn]struct{}
+	lastEvictionScan time.Time
+	connClosed       chan struct{} // receives a value when a connection is closed
+	serveDone        chan struct{} // closed once Serve has returned
+	backlogEmptyAt   time.Time     // when the accept queue was last seen empty; owned by Serve, then by Close
 
 	unwrittenBytes atomic.Int64 // bytes of answers not yet written, for all clients together
 	bufferedBytes  atomic.Int64 // bytes of the connections' read buffers, for all clients together
+	commands       atomic.Int64 // entries in the connections' slots, for all clients together
 
 	longValueBudget *semaphore.Weighted // in bytes
 	longValueWait   time.Duration       // how long a long value waits for its share of the budget
@@ -87,6 +90,7 @@
 
 	emptyReadTurns atomic.Int64 // reads that ended at their deadline and were repeated with no later one
 
+	turns        readTurns
 	lateWarnings warningLimiter
 }
 
@@ -108,6 +112,7 @@
 	srv.longValueBudget = semaphore.NewWeighted(srv.MaxLongValueBytes)
 	srv.longValueWait = longValueWaitTimeout
 	srv.serveDone = make(chan struct{})
+	srv.turns = newReadTurns()
 	srv.backlogEmptyAt = listening
 	return nil
 }
--- a/internal/front/slot.go
+++ b/internal/front/slot.go
@@ -23,6 +23,15 @@
 	block   *memory.Block   // that holds value
 }
 
+// Answers of one line that are always the same. They are never changed.
+var (
+	pongLine         = []byte("+PONG\r\n")
+	okLine           = []byte("+OK\r\n")
+	busyLine         = []byte("-BUSY\r\n")
+	lameDuckLine     = []byte("-ERR sent away: use another proxy\r\n")
+	deadLetteredLine = []byte("-ERR dead-lettered: it may have run\r\n")
+)
+
 // hasPayload reports whether a value is written after the slot's answer.
 func (s *slot) hasPayload() bool { return s.body.Size > 0 || s.block != nil }
 
@@ -65,12 +74,12 @@
 		s.answerLine(figures.Refused, []byte("-BUSY "+strconv.FormatInt(ms, 10)+"\r\n"))
 		return
 	}
-	s.answerLine(figures.Refused, []byte("-BUSY\r\n"))
+	s.answerLine(figures.Refused, busyLine)
 }
 
 // DeadLettered reports a request whose effect is unknown.
 func (s *slot) DeadLettered() {
-	s.answerLine(figures.Failed, []byte("-ERR dead-lettered: it may have run\r\n"))
+	s.answerLine(figures.Failed, deadLetteredLine)
 }
 
 // setAnswer records the slot's only answer. All of it is set under the mutex: when the client leaves at that moment,
--- a/internal/front/work_state.go
+++ b/internal/front/work_state.go
@@ -60,7 +60,7 @@
 	case c.halfClosed: // ends the wait for the client's end of stream
 		c.nc.SetReadDeadline(pastDeadline)
 		return true
-	case c.closing || c.workState() != workNone:
+	case c.closing || c.workState() != workNone && !c.input.isFlooding():
 		return false
 	}
 	c.evicted = true
--- a/internal/front/write_value.go
+++ b/internal/front/write_value.go
@@ -97,6 +97,7 @@
 		v.blocks = []*memory.Block{block}
 		return v
 	}
+	c.input.end()
 	ctx, cancel := context.WithTimeout(context.Background(), wait())
 	defer cancel()
 	defer c.watchPeer(cancel)()
@@ -187,7 +188,7 @@
 		n, err := 0, error(nil)
 		if value == nil {
 			if n = min(len(c.buf.Bytes()), remaining); n == 0 {
-				err = c.readRest(deadline, func() error { return c.buf.Fill(c.source) })
+				err = c.readRest(deadline, func() error { return c.buf.Fill(c.input) })
 			}
 			c.buf.Discard(n)
 		} else {
@@ -199,7 +200,7 @@
 		}
 	}
 	for len(c.buf.Bytes()) < len(lineEnd) {
-		if err := c.readRest(deadline, func() error { return c.buf.Fill(c.source) }); err != nil {
+		if err := c.readRest(deadline, func() error { return c.buf.Fill(c.input) }); err != nil {
 			return err
 		}
 	}
@@ -219,7 +220,7 @@
 		return n, nil
 	}
 	err = c.readRest(deadline, func() (err error) {
-		n, err = c.source.Read(free)
+		n, err = c.input.Read(free)
 		return err
 	})
 	return n, err
--- a/internal/front/writer.go
+++ b/internal/front/writer.go
@@ -15,7 +15,8 @@
 
 const (
 	copyBufferSize    = 32 << 10
-	maxKeptOutputSize = 16 << 10 // a larger output buffer is released after the write
+	maxKeptOutputSize = 4 << 10 // a larger output buffer is released after the write
+	maxKeptBatch      = 32      // a longer list of answers is released after the write
 )
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferSize]byte) }}
@@ -29,7 +30,7 @@
 		}
 	}()
 	var output []byte
-	var batch []slot // whose answers are in output
+	var batch []*slot // whose answers are in output
 	for range c.wake {
 		c.mu.Lock()
 		if c.closed { // abort has settled what its slots owe
@@ -39,13 +40,14 @@
 		n := 0 // length of the batch; an answer with a payload ends it, since the payload is written before the next answer
 		for n < len(c.slots) && c.slots[n].answer != nil && (n == 0 || !c.slots[n-1].hasPayload()) {
 			output = append(output, c.slots[n].answer...)
-			batch = append(batch, *c.slots[n])
+			batch = append(batch, c.slots[n])
 			n++
 		}
 		c.slots = slices.Delete(c.slots, 0, n) // clears the places behind the end, which would retain answered requests
 		c.writing = n > 0
 		written := 0 // bytes that the batch holds
 		if n > 0 {
+			c.server.commands.Add(-int64(n))
 			c.writingSince, c.writingValue = time.Now(), batch[n-1].block != nil
 			written = len(output) + batch[n-1].size() - len(batch[n-1].answer)
 		}
@@ -53,9 +55,8 @@
 		if len(output) > 0 {
 			c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 			reason := writeFailed
-			err := c.writeBatch(output, &batch[len(batch)-1])
-			for i := range batch {
-				s := &batch[i]
+			err := c.writeBatch(output, batch[len(batch)-1])
+			for _, s := range batch {
 				if err == nil && s.body.Size > 0 { // the last of the batch
 					if err = c.streamBody(s.body); err != nil {
 						reason = streamFailed
@@ -70,7 +71,10 @@
 				s.logAnswered(c.server, err)
 			}
 			clear(batch)
-			if batch = batch[:0]; err != nil {
+			if batch = batch[:0]; cap(batch) > maxKeptBatch {
+				batch = nil
+			}
+			if err != nil {
 				c.abort(reason)
 				return
 			}
