Bound the calls of a search for a connection to evict; lower the collector's limit

Cause: with the places full, each new connection asked the kernel about each of hundreds that had sent no command yet: 66% of the processor's time. The runtime's soft limit was three quarters of the process's, though the program's code alone takes 9 to 10 MB of 32. Change: a search asks about 16 connections. The soft limit leaves room for the code and a sixteenth.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -198,7 +198,7 @@
 		frontEnd.MaxConns.Store(int64(sockets / 2 / processes))
 		pools.MaxConnections.Store(int64(sockets * 3 / 8 / processes))
 		if memoryMB > 0 {
-			debug.SetMemoryLimit(memoryBytes * 3 / 4 / int64(processes))
+			debug.SetMemoryLimit(memory.CollectorLimit(memoryBytes, processes))
 		}
 	}
 	coordinator.applyLimits(false)
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -17,6 +17,9 @@
 	// evictionScanInterval is the shortest time between two searches for a connection to evict while there is room.
 	evictionScanInterval = 5 * time.Millisecond
 
+	// maxUnreadChecks bounds the connections that one search asks the kernel about.
+	maxUnreadChecks = 16
+
 	// overflowDivisor bounds the connections above MaxConns to MaxConns/overflowDivisor. Their requests are refused,
 	// so that their clients learn that there is no room.
 	overflowDivisor = 16
@@ -88,7 +91,7 @@
 // evicted at a time: evicting reports that an eviction is under way. The server's mutex is held.
 func (srv *Server) evictionCandidate(cutoff time.Time, hasRoom bool) (chosen *conn, evicting bool) {
 	var silent, idle, halfClosed, flooding *conn
-	silentCount, idleCount, maxConns := 0, 0, int(srv.MaxConns.Load())
+	silentCount, idleCount, unreadChecks, maxConns := 0, 0, 0, int(srv.MaxConns.Load())
 	for c := range srv.conns {
 		if !c.mu.TryLock() { // it is in use, and the server's mutex must not be held for long
 			continue
@@ -107,8 +110,10 @@
 		case c.workState() != workNone:
 		case !c.commandSeen:
 			silentCount++
-			if (silent == nil || c.createdAt.Before(silent.createdAt)) && !hasUnreadInput(c.nc) {
-				silent = c
+			if unreadChecks < maxUnreadChecks && (silent == nil || c.createdAt.Before(silent.createdAt)) {
+				if unreadChecks++; !hasUnreadInput(c.nc) {
+					silent = c
+				}
 			}
 		case c.lastActive.Before(cutoff):
 			idleCount++
--- a/internal/front/read_turn_test.go
+++ b/internal/front/read_turn_test.go
@@ -27,6 +27,7 @@
 	good.send(getCommand("first")) // with the turn that the flood gives back between two reads
 	receive(t, e.submitted).Reply.Acked([]byte("v"))
 	good.expect("$1", "v")
+	waitUntil(t, "the reader to see the pause", func() bool { return hasPausedReader(srv) })
 	srv.turns <- struct{}{}
 	good.send(getCommand("second"))
 	receive(t, e.submitted).Reply.Acked([]byte("v"))
@@ -34,6 +35,18 @@
 	go io.Copy(io.Discard, flood)
 }
 
+// hasPausedReader reports whether the client of any connection has sent and then paused.
+func hasPausedReader(srv *Server) bool {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	for c := range srv.conns {
+		if c.input.unpaused.Load() == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Commands that a client left unread must not be handled after its close.
 func TestCommandsLeftUnreadByAClientThatIsGoneAreDropped(t *testing.T) {
 	srv, e := startServer(t, nil)
