Keep long properties in blocks, and a write's words in the read buffer

Cause: the list of properties, up to 64 KiB, was copied to a string that lived as long as the answer's place in its connection, also for a request that was refused at once; each attempt built it twice more. Change: the list goes from the read buffer into a block of a pool of its own, which is given back with the request's value; without one the request is refused. Encoders append it once, to a buffer of the right size. The origin's requests are appended by hand, in the same form as before; those with a long value were already. A write's other words stay in the read buffer until its value has been read.

--- a/internal/caches/caches.go
+++ b/internal/caches/caches.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -44,6 +45,8 @@
 	if r.Write {
 		words = 5
 	}
+	propertiesSize := r.Properties.EncodedSize(attemptDeadline)
+	b = slices.Grow(b, propertiesSize+len(r.Key)+len(r.ID)+maxFraming+min(r.Size(), engine.MaxInlineBytes))
 	b = redcon.AppendArray(b, words)
 	if r.Write {
 		b = redcon.AppendBulkString(b, "CACHE.SET")
@@ -52,7 +55,8 @@
 	}
 	b = redcon.AppendBulkString(b, r.Key)
 	b = redcon.AppendBulkString(b, r.ID)
-	b = redcon.AppendBulk(b, r.Properties.Append(nil, attemptDeadline))
+	b = append(strconv.AppendInt(append(b, '$'), int64(propertiesSize), 10), "\r\n"...)
+	b = append(r.Properties.Append(b, attemptDeadline), "\r\n"...)
 	if r.Size() > engine.MaxInlineBytes {
 		b = append(strconv.AppendInt(append(b, '$'), int64(r.Size()), 10), "\r\n"...)
 		return append(b, "\r\n"...), len(b)
@@ -63,6 +67,9 @@
 	return b, 0
 }
 
+// maxFraming is an upper bound of the bytes of a command that are neither its properties, key and id nor its value.
+const maxFraming = 128
+
 // NewResponseReader returns a reader for the responses of one connection.
 func (p Protocol) NewResponseReader(r io.Reader) pool.ResponseReader {
 	return &responseReader{Protocol: p, source: r}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -174,6 +174,7 @@
 		MaxCommands:       memoryBytes / 32 / commandBytes,
 		Blocks: front.BlockPools{
 			Commands:   memory.NewPool(memoryBytes / 32),
+			Properties: memory.NewPool(memoryBytes / 32),
 			Values:     memory.NewPool(memoryBytes / 16),
 			LongValues: memory.NewPool(memoryBytes / 2),
 			Answers:    answerBlocks,
--- a/internal/deadline/deadline.go
+++ b/internal/deadline/deadline.go
@@ -74,14 +74,28 @@
 func (p AttemptDeadline) WriteBy() time.Time { return p.writeBy }
 
 // Properties holds a request's property list as its client sent it, without the client's deadline value.
-type Properties struct{ before, after string }
+type Properties struct{ before, after []byte }
 
-// RemoveDeadline returns the list without the client's deadline, which occupies list[from:to].
-func RemoveDeadline(list string, from, to int) Properties { return Properties{list[:from], list[to:]} }
+// RemoveDeadline returns the list without the client's deadline, which occupies list[from:to]. It refers to a list of bytes.
+func RemoveDeadline[List string | []byte](list List, from, to int) Properties {
+	return Properties{[]byte(list[:from]), []byte(list[to:])}
+}
+
+// CopyTo returns the same list with its bytes in dest, which holds Size of them.
+func (p Properties) CopyTo(dest []byte) Properties {
+	n := copy(dest, p.before)
+	return Properties{dest[:n:n], dest[n : n+copy(dest[n:], p.after)]}
+}
 
 // Size returns the length of the list without the deadline value, in bytes.
 func (p Properties) Size() int { return len(p.before) + len(p.after) }
 
+// EncodedSize returns the length of what Append appends, in bytes.
+func (p Properties) EncodedSize(attempt AttemptDeadline) int {
+	var digits [20]byte // the longest int64
+	return p.Size() + len(strconv.AppendInt(digits[:0], attempt.milliseconds, 10))
+}
+
 // Append appends the list to b with the attempt's deadline in place of the client's; everything else is unchanged.
 func (p Properties) Append(b []byte, attempt AttemptDeadline) []byte {
 	b = append(b, p.before...)
--- a/internal/front/command.go
+++ b/internal/front/command.go
@@ -1,12 +1,12 @@
 package front
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"hash/fnv"
 	"math"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/tidwall/redcon"
@@ -96,8 +96,8 @@
 	return n
 }
 
-// parseRequest makes an op from the words of a command whose last byte was received at received or later. The error's
-// text is sent to the client.
+// parseRequest makes an op from the words of a command whose last byte was received at received or later. The op's properties refer
+// to the words. The error's text is sent to the client.
 func (n NameTable) parseRequest(words [][]byte, write bool, received time.Time) (*engine.Op, error) {
 	wantWords := writeWords - 1
 	if write {
@@ -113,8 +113,8 @@
 			return nil, fmt.Errorf("%s is empty, too long or not plain text", []string{"key", "id"}[i])
 		}
 	}
-	list := string(words[3])
-	if strings.ContainsAny(list, "\r\n") {
+	list := words[3]
+	if bytes.ContainsAny(list, "\r\n") {
 		return nil, errors.New("line break in the properties")
 	}
 	if write {
@@ -124,21 +124,22 @@
 	return op, n.parseProperties(op, list)
 }
 
-// parseProperties reads a request's comma-separated list of name=value pairs. Unknown names are passed on as they are.
-func (n NameTable) parseProperties(op *engine.Op, list string) error {
+// parseProperties reads a request's comma-separated list of name=value pairs. Unknown names are passed on as they are. The op's
+// properties refer to the list.
+func (n NameTable) parseProperties(op *engine.Op, list []byte) error {
 	hasCategory, hasWait, hasTenant, hasRetryMark := false, false, false, false
 	for at := 0; at <= len(list); {
-		end := strings.IndexByte(list[at:], ',')
+		end := bytes.IndexByte(list[at:], ',')
 		if end < 0 {
 			end = len(list)
 		} else {
 			end += at
 		}
-		name, value, _ := strings.Cut(list[at:end], "=")
+		name, value, _ := bytes.Cut(list[at:end], []byte{'='})
 		var ok bool
-		switch name {
+		switch string(name) {
 		case "c":
-			if op.Category, ok = n.categories[value]; !ok || hasCategory {
+			if op.Category, ok = n.categories[string(value)]; !ok || hasCategory {
 				return fmt.Errorf("unknown or repeated class %q", value)
 			}
 			op.AtMostOnce, hasCategory = n.atMostOnce[op.Category], true
@@ -146,18 +147,18 @@
 			if len(n.tenants) == 0 {
 				break // no tenants are configured
 			}
-			if op.Tenant, ok = n.tenants[value]; !ok || hasTenant {
+			if op.Tenant, ok = n.tenants[string(value)]; !ok || hasTenant {
 				return fmt.Errorf("unknown or repeated tenant %q", value)
 			}
 			hasTenant = true
 		case "r":
-			if value != "0" && value != "1" || hasRetryMark {
+			if string(value) != "0" && string(value) != "1" || hasRetryMark {
 				return fmt.Errorf("r=%s is no mark of a retry", value)
 			}
-			op.IsRetry, hasRetryMark = value == "1", true
+			op.IsRetry, hasRetryMark = string(value) == "1", true
 		case "d":
-			ms, err := strconv.ParseFloat(value, 64)
-			if err != nil || strings.Trim(value, "0123456789.") != "" || hasWait || !(ms > 0) || ms > float64(maxWait/time.Millisecond) {
+			ms, err := strconv.ParseFloat(string(value), 64)
+			if err != nil || len(bytes.Trim(value, "0123456789.")) > 0 || hasWait || !(ms > 0) || ms > float64(maxWait/time.Millisecond) {
 				return fmt.Errorf("d=%s is no waiting time in milliseconds", value)
 			}
 			op.Request.Deadline = deadline.After(op.ReceivedAt, time.Duration(math.Floor(ms*float64(time.Millisecond))))
--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -205,9 +205,27 @@
 		}
 		s := &slot{conn: c, op: op, class: names.classes[op.Category]}
 		op.Reply = s
+		properties, err := c.server.keepProperties(op)
+		if err != nil {
+			c.server.rejected.Add(1)
+			return c.refuse(s)
+		}
+		defer func() {
+			if !submitted {
+				properties.Release()
+			}
+		}()
 		if value != nil {
 			value.attach(op)
 		}
+		if release := op.OnRelease; properties != nil {
+			op.OnRelease = func() {
+				properties.Release()
+				if release != nil {
+					release()
+				}
+			}
+		}
 		op.Request.MayStream = s.mayStream
 		if !c.reserve(s) {
 			return false
@@ -243,6 +261,33 @@
 	return c.rejectCommand(&c.server.malformed, errors.New("unknown command '"+name+"'"))
 }
 
+// keepProperties moves an op's properties from the read buffer to memory of their own, which is a block if they are long.
+func (srv *Server) keepProperties(op *engine.Op) (*memory.Block, error) {
+	size := op.Request.Properties.Size()
+	if size <= engine.MaxInlineBytes {
+		op.Request.Properties = op.Request.Properties.CopyTo(make([]byte, size))
+		return nil, nil
+	}
+	block := srv.Blocks.Properties.TryAcquire()
+	if block == nil {
+		return nil, memory.ErrNoMemory
+	}
+	op.Request.Properties = op.Request.Properties.CopyTo(block.Bytes())
+	return block, nil
+}
+
+// refuse refuses a request that is not submitted. It reports whether to read on.
+func (c *conn) refuse(s *slot) bool {
+	if !c.reserve(s) {
+		return false
+	}
+	c.mu.Lock()
+	s.op = nil
+	c.mu.Unlock()
+	s.Nacked(0) // without a retry delay
+	return true
+}
+
 // refuseBusy answers requests with BUSY on a connection that was admitted above the limit, or that has reached
 // maxBadCommands: requests that were read in the same batch are still answered before the close. Other commands are
 // ignored.
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -34,6 +34,7 @@
 // BlockPools lend the memory of what is too large for a connection's own buffers. A nil pool is unlimited.
 type BlockPools struct {
 	Commands   *memory.Pool // read buffers of commands that are long without their value
+	Properties *memory.Pool // long properties of open requests
 	Values     *memory.Pool // values of writes, up to engine.MaxContiguousBytes
 	LongValues *memory.Pool // parts of longer values; Server.MaxLongValueBytes limits them as a whole
 	Answers    *memory.Pool // large values on their way to clients, lent by the wires to the servers
--- a/internal/front/write_value.go
+++ b/internal/front/write_value.go
@@ -122,16 +122,13 @@
 // memory of its own, or thrown away and the request refused if there is none. It reports whether to read on.
 func (c *conn) handleWrite(tooLong *resp.BulkTooLongError) bool {
 	words := tooLong.ElementsBefore(c.buf.Bytes())
-	for i, word := range words {
-		words[i] = bytes.Clone(word)
-	}
-	c.buf.Discard(tooLong.Offset)
 	c.mu.Lock()
 	c.hasUnhandledInput, c.commandSeen = true, true
 	c.readWait = waitCommandRest
 	c.readerChanged.Broadcast()
 	c.mu.Unlock()
-	value, err := c.receiveValue(tooLong.Length, words)
+	input := &valueInput{conn: c, buffered: c.buf.Bytes()[tooLong.Offset:], deadline: time.Now().Add(longValueTimeout)}
+	value, err := input.receive(tooLong.Length, words)
 	if err != nil {
 		if value != nil {
 			value.release()
@@ -145,6 +142,7 @@
 		}
 		return false
 	}
+	defer c.buf.Discard(tooLong.Offset + input.used) // the words refer to the buffer
 	c.partialSince = time.Time{}
 	if value == nil {
 		c.server.rejected.Add(1)
@@ -153,25 +151,45 @@
 	return c.handleCommand(append(words, nil), value, c.source.receivedAfter)
 }
 
-// receiveValue acquires memory for a value of size bytes and reads it. value is nil if there was no memory.
-func (c *conn) receiveValue(size int, words [][]byte) (value *writeValue, err error) {
-	deadline := time.Now().Add(longValueTimeout)
+// valueInput reads a write's value and the line end after it: what is in the connection's buffer, and then from the client. The
+// buffer is left as it is, since the command's other words stand there.
+type valueInput struct {
+	conn     *conn
+	buffered []byte // not consumed yet
+	used     int    // bytes of the buffer that were consumed
+	deadline time.Time
+}
+
+// receive acquires memory for a value of size bytes and reads it. value is nil if there was no memory.
+func (in *valueInput) receive(size int, words [][]byte) (value *writeValue, err error) {
+	c := in.conn
 	if size <= engine.MaxContiguousBytes {
-		deadline = time.Now().Add(partialCommandTimeout)
-		if err := c.awaitBuffered(size+len(lineEnd)-len(c.buf.Bytes()), deadline); err != nil {
+		in.deadline = time.Now().Add(partialCommandTimeout)
+		if err := in.awaitArrival(size + len(lineEnd) - len(in.buffered)); err != nil {
 			return nil, err
 		}
 	}
 	value = c.acquireValue(size, func() time.Duration { return c.valueWait(words) })
-	return value, c.readValue(size, value, max(time.Until(deadline), closingReadTimeout))
+	if earliest := time.Now().Add(closingReadTimeout); in.deadline.Before(earliest) {
+		in.deadline = earliest // the time spent on the wait for memory is not the client's
+	}
+	if value == nil {
+		err = in.skip(size)
+	} else {
+		err = in.fill(value)
+	}
+	if err != nil {
+		return value, err
+	}
+	return value, in.readLineEnd()
 }
 
-// awaitBuffered waits until the kernel holds n further bytes of a command.
-func (c *conn) awaitBuffered(n int, deadline time.Time) error {
-	for buffered := n <= 0; !buffered; {
-		err := c.readRest(deadline, func() error {
-			waitErr := c.source.waitBuffered(n)
-			buffered = waitErr == nil
+// awaitArrival waits until the kernel holds n further bytes.
+func (in *valueInput) awaitArrival(n int) error {
+	for arrived := n <= 0; !arrived; {
+		err := in.attempt(func() error {
+			waitErr := in.conn.source.waitBuffered(n)
+			arrived = waitErr == nil
 			return waitErr
 		})
 		if err != nil {
@@ -181,61 +199,74 @@
 	return nil
 }
 
-// readValue reads a value of size bytes and the line end after it. A nil value is thrown away as it arrives.
-func (c *conn) readValue(size int, value *writeValue, timeout time.Duration) error {
-	deadline := time.Now().Add(timeout)
-	for remaining := size; remaining > 0; {
-		n, err := 0, error(nil)
-		if value == nil {
-			if n = min(len(c.buf.Bytes()), remaining); n == 0 {
-				err = c.readRest(deadline, func() error { return c.buf.Fill(c.input) })
-			}
-			c.buf.Discard(n)
-		} else {
-			n, err = c.readPart(value.nextPart(), deadline)
-			value.add(n)
-		}
+// fill reads a value whole.
+func (in *valueInput) fill(value *writeValue) error {
+	for remaining := value.size; remaining > 0; {
+		n, err := in.read(value.nextPart())
+		value.add(n)
 		if remaining -= n; err != nil && n == 0 {
 			return err
 		}
 	}
-	for len(c.buf.Bytes()) < len(lineEnd) {
-		if err := c.readRest(deadline, func() error { return c.buf.Fill(c.input) }); err != nil {
+	return nil
+}
+
+// skip reads n bytes and throws them away.
+func (in *valueInput) skip(n int) error {
+	scratch := make([]byte, skipSize)
+	for n > 0 {
+		skipped, err := in.read(scratch[:min(n, skipSize)])
+		if n -= skipped; err != nil && skipped == 0 {
 			return err
 		}
 	}
-	if string(c.buf.Bytes()[:len(lineEnd)]) != lineEnd {
-		return errFraming
-	}
-	c.buf.Discard(len(lineEnd))
 	return nil
 }
 
+// skipSize is the number of bytes that are thrown away at a time.
+const skipSize = 4 << 10
+
+// lineEnd ends each line and each value.
 const lineEnd = "\r\n"
 
-// readPart reads the next bytes of a value, from the buffer first. It returns errLongValue at the deadline.
-func (c *conn) readPart(free []byte, deadline time.Time) (n int, err error) {
-	if n = copy(free, c.buf.Bytes()); n > 0 {
-		c.buf.Discard(n)
+func (in *valueInput) readLineEnd() error {
+	var end [len(lineEnd)]byte
+	for at := 0; at < len(end); {
+		n, err := in.read(end[at:])
+		if at += n; err != nil && n == 0 {
+			return err
+		}
+	}
+	if string(end[:]) != lineEnd {
+		return errFraming
+	}
+	return nil
+}
+
+// read reads the next bytes. It returns errLongValue at the deadline.
+func (in *valueInput) read(dest []byte) (n int, err error) {
+	if n = copy(dest, in.buffered); n > 0 {
+		in.buffered = in.buffered[n:]
+		in.used += n
 		return n, nil
 	}
-	err = c.readRest(deadline, func() (err error) {
-		n, err = c.input.Read(free)
+	err = in.attempt(func() (err error) {
+		n, err = in.conn.input.Read(dest)
 		return err
 	})
 	return n, err
 }
 
-// readRest reads once. At the end of the time for the rest of a command it returns errLongValue.
-func (c *conn) readRest(deadline time.Time, read func() error) error {
-	if !c.setLongReadDeadline(deadline) {
+// attempt calls read with a deadline, and returns errLongValue at the end of the time for the rest of a command.
+func (in *valueInput) attempt(read func() error) error {
+	if !in.conn.setLongReadDeadline(in.deadline) {
 		return errLongValue
 	}
 	err := read()
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		return err
 	}
-	if c.startGrace() {
+	if in.conn.startGrace() {
 		return nil
 	}
 	return errLongValue
@@ -274,13 +305,5 @@
 	if err != nil || string(bytes.ToUpper(words[0])) != "CACHE.SET" {
 		return c.rejectCommand(&c.server.malformed, errors.New("long value in no command that takes one"))
 	}
-	s := &slot{conn: c, op: op, class: c.server.names.Load().classes[op.Category]}
-	if !c.reserve(s) {
-		return false
-	}
-	c.mu.Lock()
-	s.op = nil
-	c.mu.Unlock()
-	s.Nacked(0)
-	return true
+	return c.refuse(&slot{conn: c, op: op, class: c.server.names.Load().classes[op.Category]})
 }
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -12,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"time"
 
 	"minttray/internal/deadline"
@@ -37,28 +37,27 @@
 // AppendRequest appends GET /KEY, or PUT /KEY with the value. The properties are forwarded unchanged, except for the deadline, which is
 // the attempt's own, as with caches.
 func (p Protocol) AppendRequest(b []byte, r *engine.Request, attemptDeadline deadline.AttemptDeadline) (encoded []byte, valueOffset int) {
-	properties := string(r.Properties.Append(nil, attemptDeadline))
-	req := &http.Request{Method: http.MethodGet, Host: p.Host, URL: &url.URL{Path: "/" + r.Key}, Proto: "HTTP/1.1",
-		ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{"X-Trace-Id": {r.ID}, "X-Props": {properties}, "User-Agent": nil}}
-	if r.Size() > engine.MaxInlineBytes { // http.Request.Write would copy the value
-		out := bytes.NewBuffer(b)
-		fmt.Fprintf(out, "PUT %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n", req.URL.RequestURI(), p.Host, r.Size())
-		delete(req.Header, "User-Agent")
-		req.Header.Write(out)
-		out.WriteString("\r\n")
-		return out.Bytes(), out.Len()
+	method := http.MethodGet
+	if r.Write {
+		method = http.MethodPut
 	}
+	b = slices.Grow(b, r.Properties.Size()+len(r.Key)+maxFraming+min(r.Size(), engine.MaxInlineBytes))
+	target := url.URL{Path: "/" + r.Key}
+	b = fmt.Appendf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, target.RequestURI(), p.Host)
 	if r.Write {
-		req.Method, req.ContentLength = http.MethodPut, int64(len(r.Value))
-		if req.Body = http.NoBody; len(r.Value) > 0 {
-			req.Body = io.NopCloser(bytes.NewReader(r.Value))
-		}
+		b = fmt.Appendf(b, "Content-Length: %d\r\n", r.Size())
+	}
+	b = append(r.Properties.Append(append(b, "X-Props: "...), attemptDeadline), "\r\nX-Trace-Id: "...)
+	b = append(append(b, r.ID...), "\r\n\r\n"...)
+	if r.Size() > engine.MaxInlineBytes {
+		return b, len(b)
 	}
-	out := bytes.NewBuffer(b)
-	req.Write(out) // to memory: fails only for a malformed request, which the origin then receives truncated and rejects
-	return out.Bytes(), 0
+	return append(b, r.Value...), 0
 }
 
+// maxFraming is an upper bound of the bytes of a request that are neither its properties and key nor its value.
+const maxFraming = 2 << 10
+
 // NewResponseReader returns a reader for the responses of one connection.
 func (p Protocol) NewResponseReader(r io.Reader) pool.ResponseReader {
 	limited := &io.LimitedReader{R: r}
