Run a connection's writer only while it writes; less memory for long values

Cause: each connection held two goroutines. With 500 connections the runtime's own limit was all but reached by them, so the collector ran without a pause (64% of the processor's time, most of it over stacks). Change: a writer is a goroutine from the answer that wakes it to the last that it writes; its loop is divided into steps. A wait for a block sets a timer only where slow readers are to give way.

--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -41,7 +41,6 @@
 		}
 		if c != nil {
 			go c.readLoop()
-			go c.writeLoop()
 			return
 		}
 		if waited >= admissionTimeout {
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"minttray/internal/buffer"
@@ -56,12 +57,14 @@
 	badCommands   int
 	submitting    *slot // whose op is being submitted
 
+	writer atomic.Int32 // writerState
+	batch  batch        // owned by the writer
+
 	mu                sync.Mutex
 	slots             []*slot // in command order; not yet written
 	unwrittenBytes    int     // bytes of answers not yet written
 	lastActive        time.Time
-	spaceFreed        sync.Cond // the reader waits for it while too much is outstanding
-	wake              chan struct{}
+	spaceFreed        sync.Cond    // the reader waits for it while too much is outstanding
 	commandSeen       bool         // a complete command has been read
 	hasUnhandledInput bool         // input has been read that has no slot yet
 	closing           bool         // closes as soon as everything read is answered
@@ -87,16 +90,9 @@
 	readerDone chan struct{} // closed once the reader has finished with the connection
 }
 
-func (c *conn) wakeWriter() {
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
-}
-
 // newConn returns a connection on which nothing had arrived at notBefore.
 func newConn(srv *Server, nc net.Conn, notBefore time.Time) *conn {
-	c := &conn{server: srv, nc: nc, source: newArrivalReader(nc, notBefore, srv.Pulse), wake: make(chan struct{}, 1), readerDone: make(chan struct{}), createdAt: time.Now()}
+	c := &conn{server: srv, nc: nc, source: newArrivalReader(nc, notBefore, srv.Pulse), readerDone: make(chan struct{}), createdAt: time.Now()}
 	c.buf.Blocks = srv.Blocks.Commands
 	c.input = newTurnReader(c.source, srv.turns)
 	c.lastActive = c.createdAt
@@ -206,7 +202,6 @@
 	c.readerChanged.Broadcast()
 	c.mu.Unlock()
 	c.nc.Close()
-	c.wakeWriter()
 	c.server.removeConn(c)
 	for _, op := range abandoned {
 		c.server.Engine.Abandon(op)
--- a/internal/memory/limit.go
+++ b/internal/memory/limit.go
@@ -1,7 +1,7 @@
 package memory
 
 // codeBytes is what the program's code and constant data take when all of it has been used. The collector does not count it.
-const codeBytes = 10 << 20
+const codeBytes = 8 << 20
 
 // reserveDivisor is the share of a process's limit that is left free, as the collector's limit is a soft one.
 const reserveDivisor = 16
--- a/internal/memory/pool.go
+++ b/internal/memory/pool.go
@@ -72,19 +72,26 @@
 		return b, nil
 	}
 	p.waits.Add(1)
+	wait := p.slots.Acquire
+	if p.onShort.Load() != nil {
+		wait = p.waitInTurns
+	}
+	if wait(ctx, 1) != nil {
+		p.refused.Add(1)
+		return nil, ErrNoMemory
+	}
+	return p.lend(), nil
+}
+
+// waitInTurns waits for places until ctx is done, and calls the function of OnShort at intervals.
+func (p *Pool) waitInTurns(ctx context.Context, n int64) error {
 	for {
-		if f := p.onShort.Load(); f != nil {
-			(*f)()
-		}
+		(*p.onShort.Load())()
 		turn, cancel := context.WithTimeout(ctx, shortageInterval)
-		err := p.slots.Acquire(turn, 1)
+		err := p.slots.Acquire(turn, n)
 		cancel()
-		if err == nil {
-			return p.lend(), nil
-		}
-		if ctx.Err() != nil {
-			p.refused.Add(1)
-			return nil, ErrNoMemory
+		if err == nil || ctx.Err() != nil {
+			return err
 		}
 	}
 }
