--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -196,7 +196,7 @@
 		if shared {
 			processes = 2
 		}
-		frontEnd.MaxConns.Store(int64(sockets / 2 / processes))
+		frontEnd.MaxConns.Store(int64(memory.MaxConns(memoryBytes, processes, sockets/2/processes)))
 		pools.MaxConnections.Store(int64(sockets * 3 / 8 / processes))
 		if memoryMB > 0 {
 			debug.SetMemoryLimit(memory.CollectorLimit(memoryBytes, processes))
--- a/lab/hostile/memory_test.go
+++ b/lab/hostile/memory_test.go
@@ -64,3 +64,12 @@
 		t.Run(string(kind), func(t *testing.T) { play(t, []Pressure{{kind, *clients}}) })
 	}
 }
+
+// All kinds at once, as in the incident: the pressures must not add up past the limit.
+func TestMemoryLimitUnderAMixOfHostileClients(t *testing.T) {
+	var pressures []Pressure
+	for _, kind := range Kinds {
+		pressures = append(pressures, Pressure{kind, *clients / len(Kinds)})
+	}
+	play(t, pressures)
+}
