Tell what holds memory and why requests are refused; count an op by what it holds

Neither could be told from the log: requests that the front end refuses had no line, no line said when a request was read, and nothing showed which part of the process held memory. Change: svc_memory_bytes, _free_bytes, _limit_bytes, _waits, _refused and _leaked by holder, svc_process_bytes (heap, stacks, what the collector counts, the peak), svc_connections by what they await; the same in the line of counters and, with the limits, in the line of the start. The line of a request tells when it was read (read_ms) and, where the front end refused it, why. An open op counts 1 KiB beside its strings, and no longer the values and properties that stand in blocks; together they may take a twelfth of the memory. A connection that floods without a request is closed at once when its place is needed, and one with unread input is not taken for idle.

--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -75,9 +75,9 @@
 	case b.Blocks == nil || size == initialSize:
 		b.replace(make([]byte, size), nil)
 	default:
-		block := b.Blocks.TryAcquire()
-		if block == nil {
-			return memory.ErrNoMemory
+		block, err := b.Blocks.AcquireNow()
+		if err != nil {
+			return err
 		}
 		b.replace(block.Bytes(), block)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -132,7 +132,7 @@
 		learned = snapshots.load()
 	}
 	stallMonitor := pulse.New(time.Now())
-	answerBlocks := memory.NewPool(memoryBytes / 16)
+	answerBlocks := memory.NewPool(memoryBytes / 24)
 	eng := engine.New(engine.Options{
 		StallMonitor: stallMonitor,
 		CachesOut:    overrides.CachesOut,
@@ -145,7 +145,7 @@
 		Module:       newModule,
 		Logger:       log,
 		MaxOps:       maxOps(s),
-		MaxBytes:     memoryBytes / 8,
+		MaxBytes:     memoryBytes / 12,
 		Connect: func(m engine.Member) engine.Server {
 			if m.Kind == s.Policy.OriginKind {
 				return pool.New(pools, m.Addr, origin.Protocol{Host: m.Addr, Values: answerBlocks})
@@ -173,9 +173,9 @@
 		MaxLongValueBytes: max(memoryBytes/8, engine.MaxValueBytes),
 		MaxCommands:       memoryBytes / 32 / commandBytes,
 		Blocks: front.BlockPools{
-			Commands:   memory.NewPool(memoryBytes / 32),
-			Properties: memory.NewPool(memoryBytes / 32),
-			Values:     memory.NewPool(memoryBytes / 16),
+			Commands:   memory.NewPool(memoryBytes / 48),
+			Properties: memory.NewPool(memoryBytes / 48),
+			Values:     memory.NewPool(memoryBytes / 24),
 			LongValues: memory.NewPool(memoryBytes / 4),
 			Answers:    answerBlocks,
 		},
@@ -224,6 +224,7 @@
 	go eng.Run(stopEngine)
 	go watcher.Run(ctx)
 	go runEvery(ctx, expiryInterval, func() { pools.CloseExpired(time.Now()) })
+	go runEvery(ctx, expiryInterval, frontEnd.Blocks.Trim)
 	coordinator.markListening(overrides.DrainClients) // before Serve, so that the first PING gets the right reply
 	go frontEnd.Serve()
 	if conf.Control != "" {
@@ -234,7 +235,9 @@
 		snapshots.run(ctx, eng)
 		close(snapshotsDone)
 	}()
-	log.Info().Str("listen", conf.Listen).Str("control", conf.Control).Int("known", len(known)).Msg("serving")
+	log.Info().Str("listen", conf.Listen).Str("control", conf.Control).Int("known", len(known)).
+		Int("memory_mb", memoryMB).Int64("max_connections", frontEnd.MaxConns.Load()).Int64("collector_limit", memory.CollectorLimit(memoryBytes, 1)).
+		Object("memory", memoryUsage{frontEnd}).Msg("serving")
 	logCounters := func() {
 		done := make(chan struct{})
 		eng.Do(func(e *engine.Engine) {
@@ -244,6 +247,7 @@
 				Object("clients", frontEnd).
 				Object("servers", pools).
 				Object("discovery", watcher).
+				Object("memory", memoryUsage{frontEnd}).
 				Msg("counters")
 			close(done)
 		})
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -32,7 +32,7 @@
 	Connect      func(m Member) Server
 	Logger       zerolog.Logger
 	MaxOps       int            // initial limit of ops open at once
-	MaxBytes     int64          // limit of the total size of open requests
+	MaxBytes     int64          // limit of what open ops hold in memory, without what is in blocks
 	StallMonitor *pulse.Monitor // receives beats from the engine's goroutine; may be nil
 
 	// State handed over by another process, by cache name.
@@ -286,7 +286,7 @@
 
 // Submit passes an op to the engine. If it returns an error, the op was not accepted and the front rejects it.
 func (e *Engine) Submit(o *Op) error {
-	size := int64(len(o.Request.Value) + o.Request.Properties.Size() + len(o.Request.Key) + len(o.Request.ID))
+	size := o.heldBytes()
 	ops, bytes := e.opCount.Add(1), e.byteCount.Add(size)
 	if ops > e.maxOps.Load() || bytes > e.MaxBytes || e.shuttingDown.Load() {
 		e.opCount.Add(-1)
--- a/internal/engine/lag.go
+++ b/internal/engine/lag.go
@@ -73,6 +73,14 @@
 	return r.answerDue(func(o *Op) overload.Action { return overload.DecideAtShutdown(o.overloadState(now)) })
 }
 
+// ClientWait returns how long the client waits from the request's arrival, by the client's own deadline.
+func (o *Op) ClientWait() time.Duration {
+	if o.clientWait > 0 {
+		return o.clientWait
+	}
+	return max(o.Request.Deadline.Remaining(o.ReceivedAt), 0) // the engine has not taken it
+}
+
 // Remaining returns how long the client still waits, by the client's own deadline. After Submit any goroutine may call it.
 func (o *Op) Remaining(now time.Time) time.Duration { return o.clientWait - now.Sub(o.ReceivedAt) }
 
--- a/internal/engine/progress.go
+++ b/internal/engine/progress.go
@@ -33,11 +33,15 @@
 
 // Trace records when an op reached each state, in nanoseconds since ReceivedAt; 0: not reached. Any goroutine may read it.
 type Trace struct {
+	Read                                    atomic.Int64 // when its last byte was read
 	Submitted, Arrived, FirstPush, Answered atomic.Int64
 	Pushes                                  atomic.Int32
 	AnsweredDuringLag                       atomic.Bool // the lag responder answered it
 }
 
+// MarkRead records when the op's last byte was read from its connection.
+func (o *Op) MarkRead(now time.Time) { o.markTime(&o.Trace.Read, now) }
+
 // markTime records the first time at which a state was reached.
 func (o *Op) markTime(state *atomic.Int64, now time.Time) {
 	state.CompareAndSwap(0, max(int64(now.Sub(o.ReceivedAt)), 1))
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -98,6 +98,21 @@
 	acked      atomic.Pointer[Result] // of a push that was acked with a value, which may not have reached the engine's goroutine yet
 }
 
+// opOverhead is what an open op takes in bytes beside its request: its records here, in the module and at the front, and its timers.
+const opOverhead = 1 << 10
+
+// heldBytes returns what the op counts towards Options.MaxBytes. Values and properties over MaxInlineBytes are in blocks, which their
+// pools limit.
+func (o *Op) heldBytes() int64 {
+	bytes := opOverhead + len(o.Request.Key) + len(o.Request.ID)
+	for _, n := range []int{len(o.Request.Value), o.Request.Properties.Size()} {
+		if n <= MaxInlineBytes {
+			bytes += n
+		}
+	}
+	return int64(bytes)
+}
+
 // Replier receives an op's single final answer. Calls come from the engine's goroutine, or the lag responder's while the engine lags, and
 // must not block.
 type Replier interface {
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -89,7 +89,7 @@
 // connections that clients can hold is limited too, and idle ones would leave them none to open. One connection is
 // evicted at a time: evicting reports that an eviction is under way. The server's mutex is held.
 func (srv *Server) evictionCandidate(cutoff time.Time, hasRoom bool) (chosen *conn, evicting bool) {
-	var silent, idle, halfClosed, flooding *conn
+	var silent, idle, halfClosed, flooder *conn
 	silentCount, idleCount, unreadChecks, maxConns := 0, 0, 0, int(srv.MaxConns.Load())
 	for c := range srv.conns {
 		if !c.mu.TryLock() { // it is in use, and the server's mutex must not be held for long
@@ -103,8 +103,8 @@
 			}
 		case c.closing:
 		case c.input.isFlooding():
-			if flooding == nil || c.input.unpaused.Load() > flooding.input.unpaused.Load() {
-				flooding = c
+			if flooder == nil || c.input.unpaused.Load() > flooder.input.unpaused.Load() {
+				flooder = c
 			}
 		case c.workState() != workNone:
 		case !c.commandSeen:
@@ -116,8 +116,10 @@
 			}
 		case c.lastActive.Before(cutoff):
 			idleCount++
-			if idle == nil || c.lastActive.Before(idle.lastActive) {
-				idle = c
+			if unreadChecks < maxUnreadChecks && (idle == nil || c.lastActive.Before(idle.lastActive)) {
+				if unreadChecks++; !hasUnreadInput(c.nc) {
+					idle = c
+				}
 			}
 		}
 		c.mu.Unlock()
@@ -131,8 +133,8 @@
 		return silent, false
 	case halfClosed != nil:
 		return halfClosed, false
-	case flooding != nil:
-		return flooding, false
+	case flooder != nil:
+		return flooder, false
 	case idle != nil:
 		return idle, false
 	}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -58,7 +58,7 @@
 	submitting    *slot // whose op is being submitted
 
 	writer atomic.Int32 // writerState
-	batch  batch        // owned by the writer
+	batch  batch        // changed by the writer alone, with the mutex held
 
 	mu                sync.Mutex
 	slots             []*slot // in command order; not yet written
--- a/internal/front/read_wait.go
+++ b/internal/front/read_wait.go
@@ -14,6 +14,27 @@
 	waitBeforeClose                  // the connection closes, and the rest of a command, or a first command, may have arrived
 )
 
+var readWaitNames = [...]string{waitFirstCommand: "first command", waitCommandRest: "rest of a command", waitNextCommand: "next command",
+	waitBesideWork: "answers", waitBeforeClose: "close"}
+
+func (w readWait) String() string { return readWaitNames[w] }
+
+// Awaited returns how many connections await what, by name.
+func (srv *Server) Awaited() map[string]int {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	counts := map[string]int{}
+	for c := range srv.conns {
+		c.mu.Lock()
+		counts[c.readWait.String()]++
+		c.mu.Unlock()
+	}
+	return counts
+}
+
+// AwaitNames lists what a connection may await.
+func AwaitNames() []string { return readWaitNames[:] }
+
 // nextReadWait returns what the reader waits for next, and until when. readOn is false on a connection that closes and
 // on which nothing more is read. The mutex is held.
 func (c *conn) nextReadWait(now time.Time) (wait readWait, deadline time.Time, readOn bool) {
--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -135,9 +135,7 @@
 // it is unknown.
 func (c *conn) answerSubmitting() {
 	if s := c.submitting; s != nil {
-		c.mu.Lock()
-		s.op = nil
-		c.mu.Unlock()
+		s.disown("")
 		s.DeadLettered()
 	}
 }
@@ -203,12 +201,13 @@
 		if err != nil {
 			return c.rejectCommand(&c.server.malformed, err)
 		}
+		op.MarkRead(time.Now())
 		s := &slot{conn: c, op: op, class: names.classes[op.Category]}
 		op.Reply = s
 		properties, err := c.server.keepProperties(op)
 		if err != nil {
 			c.server.rejected.Add(1)
-			return c.refuse(s)
+			return c.refuse(s, noPropertyMemory)
 		}
 		defer func() {
 			if !submitted {
@@ -237,9 +236,7 @@
 			submitted = true
 			return true
 		}
-		c.mu.Lock()
-		s.op = nil
-		c.mu.Unlock()
+		s.disown(notAccepted + refusal(err.Error()))
 		if errors.Is(err, engine.ErrDuplicateID) {
 			// The op that has this id is left untouched: its value belongs to its own client alone.
 			c.server.duplicates.Add(1)
@@ -268,22 +265,20 @@
 		op.Request.Properties = op.Request.Properties.CopyTo(make([]byte, size))
 		return nil, nil
 	}
-	block := srv.Blocks.Properties.TryAcquire()
-	if block == nil {
-		return nil, memory.ErrNoMemory
+	block, err := srv.Blocks.Properties.AcquireNow()
+	if err != nil {
+		return nil, err
 	}
 	op.Request.Properties = op.Request.Properties.CopyTo(block.Bytes())
 	return block, nil
 }
 
 // refuse refuses a request that is not submitted. It reports whether to read on.
-func (c *conn) refuse(s *slot) bool {
+func (c *conn) refuse(s *slot, reason refusal) bool {
 	if !c.reserve(s) {
 		return false
 	}
-	c.mu.Lock()
-	s.op = nil
-	c.mu.Unlock()
+	s.disown(reason)
 	s.Nacked(0) // without a retry delay
 	return true
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -40,6 +40,18 @@
 	Answers    *memory.Pool // large values on their way to clients, lent by the wires to the servers
 }
 
+// Trim gives up part of the blocks that were not needed since the last call.
+func (b BlockPools) Trim() {
+	for _, pool := range b.ByHolder() {
+		pool.Trim()
+	}
+}
+
+// ByHolder returns the pools by the names that logs and metrics give to what they hold.
+func (b BlockPools) ByHolder() map[string]*memory.Pool {
+	return map[string]*memory.Pool{"commands": b.Commands, "properties": b.Properties, "values": b.Values, "long_values": b.LongValues, "answers": b.Answers}
+}
+
 // Server serves clients.
 type Server struct {
 	Engine            Engine
@@ -234,6 +246,11 @@
 // Evicted returns the number of connections that were closed to make room for others.
 func (srv *Server) Evicted() int64 { return srv.evicted.Load() }
 
+// HeldBytes returns the bytes of what the connections hold beside the blocks, by holder.
+func (srv *Server) HeldBytes() map[string]int64 {
+	return map[string]int64{"read_buffers": srv.bufferedBytes.Load(), "unwritten_answers": srv.unwrittenBytes.Load()}
+}
+
 // EmptyReadTurns returns how often a connection's reader came back from its wait with neither input nor an event and
 // then waited with no later deadline. A reader that spins counts many; a sound one counts none.
 func (srv *Server) EmptyReadTurns() int64 { return srv.emptyReadTurns.Load() }
--- a/internal/front/slot.go
+++ b/internal/front/slot.go
@@ -6,6 +6,7 @@
 
 	"github.com/tidwall/redcon"
 
+	"minttray/internal/deadline"
 	"minttray/internal/engine"
 	"minttray/internal/figures"
 	"minttray/internal/memory"
@@ -14,7 +15,9 @@
 // slot is one command's place in the order of answers. It is the Replier of the command's op.
 type slot struct {
 	conn    *conn
-	op      *engine.Op // nil for a command that needs no op
+	op      *engine.Op // nil for a command that needs no op, or whose op the engine has not taken
+	refused *engine.Op // the op that the engine has not taken, for the log
+	reason  refusal    // why
 	class   *figures.Class
 	outcome figures.Outcome // of the answer; counted once it is written
 	answer  []byte          // nil until there is one; the head of the answer if there is a body
@@ -122,8 +125,22 @@
 
 // logAnswered logs a request whose answer has been written, or could not be.
 func (s *slot) logAnswered(srv *Server, err error) {
-	if s.op != nil {
-		srv.logAnswered(s.op, s.outcome.String(), err)
+	op := s.op
+	if op == nil {
+		op = s.refused
+	}
+	if op != nil {
+		srv.logAnswered(op, s.outcome.String(), s.reason, err)
+	}
+}
+
+// disown records that the engine has not taken the slot's op, and why.
+func (s *slot) disown(reason refusal) {
+	s.conn.mu.Lock()
+	defer s.conn.mu.Unlock()
+	s.op, s.refused, s.reason = nil, s.op, reason
+	if s.refused != nil {
+		s.refused.Request.Properties = deadline.Properties{} // may refer to the read buffer
 	}
 }
 
--- a/internal/front/trace.go
+++ b/internal/front/trace.go
@@ -27,6 +27,7 @@
 	connPanicked closeReason = "panic"
 	allAnswered  closeReason = "all answered"
 	streamFailed closeReason = "value not completely sent"
+	flooding     closeReason = "flood evicted"
 )
 
 var workStateNames = [...]string{workNone: "nothing", workRead: "read", workSubmitted: "handed in", workAnswered: "answered, not written"}
@@ -60,7 +61,7 @@
 		name string
 		at   int64 // nanoseconds
 	}{
-		{"submitted_ms", op.Trace.Submitted.Load()}, {"arrived_ms", op.Trace.Arrived.Load()}, {"begun_ms", op.Trace.FirstPush.Load()},
+		{"read_ms", op.Trace.Read.Load()}, {"submitted_ms", op.Trace.Submitted.Load()}, {"arrived_ms", op.Trace.Arrived.Load()}, {"begun_ms", op.Trace.FirstPush.Load()},
 		{"answered_ms", op.Trace.Answered.Load()},
 	} {
 		if state.at > 0 {
@@ -70,10 +71,20 @@
 	return l.Int32("attempts", op.Trace.Pushes.Load()).Bool("behind", op.Trace.AnsweredDuringLag.Load())
 }
 
-// logAnswered logs a request when its answer is written: at debug, or at warn if it is late.
-func (srv *Server) logAnswered(op *engine.Op, outcome string, err error) {
+// refusal is why the front end refused a request that the engine has not taken.
+type refusal string
+
+const (
+	noValueMemory    refusal = "no memory for the value"
+	noPropertyMemory refusal = "no memory for the properties"
+	notAccepted      refusal = "not accepted by the engine: "
+)
+
+// logAnswered logs a request when its answer is written: at debug, or at warn if it is late. reason is empty unless the front end
+// refused it.
+func (srv *Server) logAnswered(op *engine.Op, outcome string, reason refusal, err error) {
 	now := time.Now()
-	late := -op.Remaining(now)
+	late := now.Sub(op.ReceivedAt) - op.ClientWait()
 	l := srv.Log.Debug()
 	if late > lateThreshold && srv.lateWarnings.allow(now) {
 		l = srv.Log.Warn()
@@ -81,7 +92,10 @@
 	if !l.Enabled() {
 		return
 	}
-	addTraceTimes(l, op).Str("end", outcome).Float64("written_ms", now.Sub(op.ReceivedAt).Seconds()*1000).Float64("late_ms", late.Seconds()*1000).AnErr("failed", err).
+	if l = addTraceTimes(l, op); reason != "" {
+		l = l.Str("reason", string(reason))
+	}
+	l.Str("end", outcome).Float64("written_ms", now.Sub(op.ReceivedAt).Seconds()*1000).Float64("late_ms", late.Seconds()*1000).AnErr("failed", err).
 		Msg("request answered")
 }
 
--- a/internal/front/work_state.go
+++ b/internal/front/work_state.go
@@ -1,5 +1,7 @@
 package front
 
+import "slices"
+
 // workState is the state of a request, or of the oldest pending work of a connection. Code that may close a
 // connection only while no work is pending must use conn.workState to find that out. Only the reader knows whether
 // input has been read and not yet recorded, so even a connection without pending work is not closed before its reader
@@ -49,10 +51,21 @@
 // is held.
 func (c *conn) canClose() bool { return c.readStopped && c.workState() == workNone }
 
+// hasRequest reports whether a request has a slot, or its answer is being written. The mutex is held.
+func (c *conn) hasRequest() bool {
+	isRequest := func(s *slot) bool { return s.class != nil }
+	return slices.ContainsFunc(c.slots, isRequest) || slices.ContainsFunc(c.batch.slots, isRequest)
+}
+
 // evict begins to close the connection to make room for another, and reports whether it does. Commands that have been
-// read by then are still answered.
+// read by then are still answered, unless the connection floods and none of them is a request.
 func (c *conn) evict() bool {
 	c.mu.Lock()
+	if c.input.isFlooding() && !c.closing && !c.hasRequest() {
+		c.evicted = true
+		c.abortAndUnlock(flooding)
+		return true
+	}
 	defer c.mu.Unlock()
 	switch {
 	case c.closed:
--- a/internal/front/write_value.go
+++ b/internal/front/write_value.go
@@ -305,5 +305,6 @@
 	if err != nil || string(bytes.ToUpper(words[0])) != "CACHE.SET" {
 		return c.rejectCommand(&c.server.malformed, errors.New("long value in no command that takes one"))
 	}
-	return c.refuse(&slot{conn: c, op: op, class: c.server.names.Load().classes[op.Category]})
+	op.MarkRead(time.Now())
+	return c.refuse(&slot{conn: c, op: op, class: c.server.names.Load().classes[op.Category]}, noValueMemory)
 }
--- a/internal/memory/limit.go
+++ b/internal/memory/limit.go
@@ -1,7 +1,7 @@
 package memory
 
 // codeBytes is what the program's code and constant data take when all of it has been used. The collector does not count it.
-const codeBytes = 9 << 20
+const codeBytes = 10 << 20
 
 // reserveDivisor is the share of a process's limit that is left free, as the collector's limit is a soft one.
 const reserveDivisor = 16
@@ -13,7 +13,7 @@
 	// connBytes is what a client's connection takes without the blocks: its buffer, its goroutines' stacks and its commands.
 	connBytes = 16 << 10
 	// connsDivisor is the share of a process's limit that clients' connections may take.
-	connsDivisor = 5
+	connsDivisor = 4
 )
 
 // MaxConns returns how many of the wanted connections of clients fit into each of a number of processes that share a limit.
--- a/internal/memory/pool.go
+++ b/internal/memory/pool.go
@@ -25,7 +25,7 @@
 	slots   *semaphore.Weighted
 	lent    atomic.Int64
 	waits   atomic.Int64 // acquisitions that found no block at first
-	refused atomic.Int64 // acquisitions that got none
+	refused atomic.Int64 // acquisitions that got none, with or without a wait
 	leaked  atomic.Int64 // blocks that the collector found instead of their holder giving them back
 	onShort atomic.Pointer[func()]
 
@@ -66,6 +66,16 @@
 	return p.lend()
 }
 
+// AcquireNow is Acquire without a wait.
+func (p *Pool) AcquireNow() (*Block, error) {
+	b := p.TryAcquire()
+	if b == nil {
+		p.refused.Add(1)
+		return nil, ErrNoMemory
+	}
+	return b, nil
+}
+
 // Acquire waits for a block until ctx is done.
 func (p *Pool) Acquire(ctx context.Context) (*Block, error) {
 	if b := p.TryAcquire(); b != nil {
