Keep the ids of at-most-once requests through a flood of other ids

Cause: the ids taken were kept in two generations of 32,768, and a full one began a new one whatever its age. A client that sends 33,000 requests twice within the retention, in seconds, had the proxy forget an at-most-once id that was still to be refused. Change: ids of at-most-once requests are kept apart and forgotten by age alone; past 32,768 of them within the retention further ones are refused, which runs nothing. Other ids are bounded as before. TestAFloodOfIDsDoesNotLetAnAtMostOnceIDRunTwice failed before ("nil, want ErrDuplicateID").

--- a/internal/engine/ids.go
+++ b/internal/engine/ids.go
@@ -13,22 +13,44 @@
 	ErrFull        = errors.New("too much is held")
 	ErrOverloaded  = errors.New("the engine is behind")
 	ErrDuplicateID = errors.New("an op with this id was taken before")
-	ErrUnknownID   = errors.New("another process may have taken an op with this id")
+	ErrUnknownID   = errors.New("it can't be told whether an op with this id was taken before")
 )
 
 const maxIDsPerGeneration = 1 << 15 // bounds the memory used, whatever ids arrive
 
-// recentIDs remembers the ids of accepted ops for at least the maximum duration of an op, and at most about twice that;
-// for less if more than maxIDsPerGeneration ids arrive within that time. Clients use a new id for every op. An op with a repeated id would
-// receive another client's answer, or be pushed again after the first op's end.
+// idGenerations is a set of ids in two generations, of which the older is forgotten when a new one begins.
+type idGenerations struct {
+	current, previous map[uint64]struct{}
+	rotatedAt         time.Time // when current began
+}
+
+func (g *idGenerations) contains(hash uint64) bool {
+	_, inCurrent := g.current[hash]
+	_, inPrevious := g.previous[hash]
+	return inCurrent || inPrevious
+}
+
+// isFull reports whether the current generation takes no further id.
+func (g *idGenerations) isFull() bool { return len(g.current) >= maxIDsPerGeneration }
+
+// rotate begins a new generation.
+func (g *idGenerations) rotate(at time.Time) {
+	g.current, g.previous, g.rotatedAt = make(map[uint64]struct{}, len(g.current)), g.current, at
+}
+
+// recentIDs remembers the ids of accepted ops for at least the maximum duration of an op, and at most about twice that. Clients use a
+// new id for every op. An op with a repeated id would receive another client's answer, or be pushed again after the first op's end.
+//
+// If more than maxIDsPerGeneration ids arrive within that time, ids are forgotten earlier, except those of at-most-once ops: further
+// ones are rejected then, whoever sends them.
 //
 // While another process of this proxy serves, each id is also claimed in a table that both map.
 type recentIDs struct {
-	mu                sync.Mutex
-	retention         time.Duration
-	key               claims.Key // hashes the ids of current and previous
-	current, previous map[uint64]struct{}
-	rotatedAt         time.Time
+	mu            sync.Mutex
+	retention     time.Duration
+	key           claims.Key    // hashes the ids of current and previous
+	idGenerations               // of all ops
+	atMostOnce    idGenerations // of at-most-once ops
 
 	shared     *claims.Table // nil: no other process serves, or it can't be asked
 	leaveAt    time.Time     // when the table is left because the last claims of the other process have ended; zero: it serves
@@ -37,7 +59,9 @@
 
 // newRecentIDs returns the ids of a process that starts, beside another one if shared is not nil.
 func newRecentIDs(retention time.Duration, shared *claims.Table) *recentIDs {
-	s := &recentIDs{retention: retention, key: claims.NewKey(), current: map[uint64]struct{}{}, shared: shared}
+	s := &recentIDs{retention: retention, key: claims.NewKey(), shared: shared}
+	s.rotate(time.Time{})
+	s.atMostOnce.rotate(time.Time{})
 	if shared != nil {
 		s.key = shared.Key()
 	}
@@ -56,23 +80,31 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	hash := s.key.Hash(id)
-	s.rotate(at)
-	_, inCurrent := s.current[hash]
-	_, inPrevious := s.previous[hash]
-	if inCurrent || inPrevious {
+	s.forget(at)
+	if s.contains(hash) || s.atMostOnce.contains(hash) {
 		return ErrDuplicateID
 	}
+	if atMostOnce && s.atMostOnce.isFull() {
+		return ErrUnknownID
+	}
 	if err := s.claim(id, hash, at, atMostOnce); err != nil {
 		return err
 	}
-	s.current[hash] = struct{}{}
+	if atMostOnce {
+		s.atMostOnce.current[hash] = struct{}{}
+	} else {
+		s.current[hash] = struct{}{}
+	}
 	return nil
 }
 
-// rotate begins a new generation if the current one is old or full. The mutex is held.
-func (s *recentIDs) rotate(at time.Time) {
-	if at.Sub(s.rotatedAt) >= s.retention || len(s.current) >= maxIDsPerGeneration {
-		s.current, s.previous, s.rotatedAt = make(map[uint64]struct{}, len(s.current)), s.current, at
+// forget begins new generations where the current one is old, or full and not of at-most-once ops. The mutex is held.
+func (s *recentIDs) forget(at time.Time) {
+	if at.Sub(s.rotatedAt) >= s.retention || s.isFull() {
+		s.rotate(at)
+	}
+	if at.Sub(s.atMostOnce.rotatedAt) >= s.retention {
+		s.atMostOnce.rotate(at)
 	}
 }
 
@@ -111,7 +143,7 @@
 func (s *recentIDs) share(table *claims.Table, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, generation := range []map[uint64]struct{}{s.current, s.previous} {
+	for _, generation := range []map[uint64]struct{}{s.current, s.previous, s.atMostOnce.current, s.atMostOnce.previous} {
 		for hash := range generation {
 			table.Claim(hash, now, s.retention)
 		}
--- a/internal/engine/ids_test.go
+++ b/internal/engine/ids_test.go
@@ -140,3 +140,35 @@
 		})
 	}
 }
+
+// An at-most-once op must not run again because a flood of other ids had the proxy forget its own.
+func TestAFloodOfIDsDoesNotLetAnAtMostOnceIDRunTwice(t *testing.T) {
+	now := time.Now()
+	ids := newRecentIDs(time.Second, nil)
+	if err := ids.add("pay", now, true); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 3 * maxIDsPerGeneration {
+		if err := ids.add(fmt.Sprint("read", i), now.Add(time.Millisecond), false); err != nil {
+			t.Fatalf("read %d: %v", i, err)
+		}
+	}
+	if err := ids.add("pay", now.Add(500*time.Millisecond), true); err != ErrDuplicateID {
+		t.Errorf("after reads: %v, want ErrDuplicateID", err)
+	}
+	refused := 0
+	for i := range 3 * maxIDsPerGeneration {
+		if ids.add(fmt.Sprint("buy", i), now.Add(time.Millisecond), true) == ErrUnknownID {
+			refused++
+		}
+	}
+	if err := ids.add("pay", now.Add(500*time.Millisecond), true); err != ErrDuplicateID {
+		t.Errorf("after at-most-once ops: %v, want ErrDuplicateID", err)
+	}
+	if refused < maxIDsPerGeneration {
+		t.Errorf("%d at-most-once ops were refused: the ids that are kept are not bounded", refused)
+	}
+	if err := ids.add("later", now.Add(3*time.Second), true); err != nil {
+		t.Errorf("after the retention: %v", err)
+	}
+}
