Drop what a client left behind also where the reader comes to it late

Change: a read that finds input at once asks whether the client has closed, as one in a turn did; the wait for a value's arrival ends with the client. The usual read, which waits for its client, makes no further call.

--- a/internal/front/arrival_reader.go
+++ b/internal/front/arrival_reader.go
@@ -90,19 +90,21 @@
 	})
 }
 
-// waitBuffered waits until n bytes can be read without blocking, or the client has closed its sending side or the connection has
-// broken. The kernel keeps the bytes meanwhile, so a client that is slow or stops holds no memory of the process. Like a Read it
+// waitBuffered waits until n bytes can be read without blocking. It returns io.EOF if the client has closed its sending side or the
+// connection has broken, also if the bytes are there. The kernel keeps the bytes meanwhile, so a client that is slow or stops holds no memory of the process. Like a Read it
 // ends at the read deadline, and it must not be called during one.
 func (r *arrivalReader) waitBuffered(n int) error {
 	if r.raw == nil {
 		return nil
 	}
+	closed := false
 	wakeAtLevel := false // the kernel wakes the reader only once n bytes have arrived, and makes room for them
 	err := r.raw.Read(func(fd uintptr) bool {
 		for {
 			before := time.Now()
 			available, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ)
-			if err != nil || available >= n || hasRemoteClose(pollEvents(fd, unix.POLLRDHUP)) {
+			closed = hasRemoteClose(pollEvents(fd, unix.POLLRDHUP))
+			if closed || err != nil || available >= n {
 				return true
 			}
 			r.emptyAt = before // the last of the bytes is still to come
@@ -117,6 +119,9 @@
 	if wakeAtLevel {
 		r.raw.Control(func(fd uintptr) { unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVLOWAT, 1) })
 	}
+	if err == nil && closed {
+		return io.EOF
+	}
 	return err
 }
 
--- a/internal/front/read_turn.go
+++ b/internal/front/read_turn.go
@@ -39,18 +39,21 @@
 	return t
 }
 
-// Read reads once, in a turn if the connection needs one. Input that a client has left behind, having closed its sending side, is not
-// read in a turn: nobody would get the answers.
+// Read reads once, in a turn if the connection needs one. Input that was there already may have been left behind by a client that has
+// closed its sending side: it is dropped, since nobody would get the answers.
 func (t *turnReader) Read(dest []byte) (int, error) {
 	t.end()
 	if t.unpaused.Load() >= maxUnpausedReads {
 		t.begin()
-		if t.source.hasRemoteClose() {
-			return 0, io.EOF
-		}
 	}
-	t.unpaused.Add(1)
-	return t.source.Read(dest)
+	if t.unpaused.Add(1) > 1 && t.source.hasRemoteClose() {
+		return 0, io.EOF
+	}
+	n, err := t.source.Read(dest)
+	if err == nil && t.unpaused.Load() == 1 && t.source.hasRemoteClose() { // the first read that found input at once
+		return 0, io.EOF
+	}
+	return n, err
 }
 
 // isFlooding reports whether the client has sent without a pause for many reads. Any goroutine may call it.
