Give an address to the server that started there last

Cause: servers are told apart by id alone. While the list still had the old one, requests for its keys were sent to its address, over connections made to the new process: work in the wrong place, and for caches that fill themselves a load on a cold one that its slow start did not count. Change: a listed server whose address belongs to one with a later start counts as gone, in whole lists and changes in any order; its unwritten attempts are withdrawn and its connections end like those of any server that has left. TestANewProcessAtAnOldAddressIsNotTakenForTheOldOne failed before in all four orders. Equal starts (0: long ago) are left as they were.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -71,6 +71,7 @@
 	records        map[uint32]*opRecord
 	lastID         uint32
 	servers        map[uint32]*server
+	addresses      addressOwners
 	cachesOut      map[string]bool // caches an operator took out of service
 	returnedAt     map[string]policy.Time
 	siteSchedules  map[int]site.Rollout[policy.Time] // operators' overrides of whole zones
@@ -517,7 +518,7 @@
 			}
 		}
 	}
-	for _, m := range members {
+	for _, m := range e.addresses.update(members, kind == policy.ListFull || kind == policy.ListCached) {
 		if m.State != policy.Gone {
 			delete(e.departedStarts, m.Name)
 		} else if s := e.servers[m.ID]; s != nil {
