Play drawn hostile runs with signals, and slow servers, on real processes

TestHostileSoak draws a deployment of the least memory with few or many descriptors, some kinds of hostile clients, series of SIGHUP and SIGUSR1 and in half of the runs a SIGTERM, after which clients use their connections until SIGKILL at the platform's earliest (2.7 s). Verdict: the process's peak of memory, its end, and requests of well-behaved clients without an answer. A write waits for memory for a quarter of its client's time, not half: a refusal has to come within half.

--- a/internal/front/write_value.go
+++ b/internal/front/write_value.go
@@ -107,7 +107,10 @@
 	return v
 }
 
-// valueWait returns how long a write may wait for memory: half of the time that its client waits, and longValueWait at most. words
+// valueWaitDivisor is the share of a client's time for which its write may wait for memory: a refusal has to come within half of it.
+const valueWaitDivisor = 4
+
+// valueWait returns how long a write may wait for memory: a part of the time that its client waits, and longValueWait at most. words
 // are those before the value.
 func (c *conn) valueWait(words [][]byte) time.Duration {
 	now := time.Now()
@@ -115,7 +118,7 @@
 	if err != nil {
 		return 0 // the command is rejected once its value has been read
 	}
-	return min(op.Request.Deadline.Remaining(now)/2, c.server.longValueWait)
+	return min(op.Request.Deadline.Remaining(now)/valueWaitDivisor, c.server.longValueWait)
 }
 
 // handleWrite reads a command whose value exceeds inlineLimits and whose other words are in the buffer. The value is read into
--- a/lab/hostile/client.go
+++ b/lab/hostile/client.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -35,21 +36,26 @@
 	count  *tally
 	sent   int
 
+	stopping *atomic.Bool // the process has been told to end: new connections go to another one
+
 	conn   net.Conn // nil: not connected
 	reader *bufio.Reader
 }
 
-func newClient(addr string, number int, count *tally) *client {
-	return &client{addr: addr, number: number, count: count}
+func newClient(addr string, number int, count *tally, stopping *atomic.Bool) *client {
+	return &client{addr: addr, number: number, count: count, stopping: stopping}
 }
 
-// run sends requests until the given time.
+// run sends requests until the given time, or until it has no connection to a process that has been told to end.
 func (c *client) run(until time.Time) {
 	for time.Now().Before(until) {
 		c.sent++
 		id := fmt.Sprintf("good%02d-%08d", c.number, c.sent)
 		begun := time.Now()
 		end := c.request(id, begun)
+		if end == lost && c.stopping.Load() && time.Since(begun) < lateAfter {
+			break // its connection was closed and no other is taken: it is sent to another process
+		}
 		c.count.add(end, time.Since(begun))
 		time.Sleep(clientPause)
 	}
@@ -61,7 +67,7 @@
 func (c *client) request(id string, begun time.Time) ending {
 	for {
 		end := c.try(id, begun)
-		if end != lost || time.Since(begun) >= clientWait {
+		if end != lost || time.Since(begun) >= clientWait || c.stopping.Load() {
 			return end
 		}
 		time.Sleep(pollInterval)
--- a/lab/hostile/memory_test.go
+++ b/lab/hostile/memory_test.go
@@ -16,7 +16,8 @@
 	clients     = flag.Int("hostile.clients", 480, "hostile clients")
 	playTime    = flag.Duration("hostile.time", 4*time.Second, "length of a run")
 	program     = flag.String("hostile.program", "", "program of the proxy; empty: it is built")
-	seed        = flag.Uint64("hostile.seed", 1, "seed of the runs")
+	seed        = flag.Uint64("hostile.seed", 1, "seed of the runs, and the first of a soak")
+	soakRuns    = flag.Int("hostile.soak", 8, "runs of a soak")
 	builtBinary string
 )
 
@@ -40,17 +41,23 @@
 	os.Exit(status)
 }
 
-// play runs the smallest deployment under pressure and checks what holds under any: the process stays up and within its memory,
-// and each well-behaved request gets an answer.
+// play runs the smallest deployment under pressure.
 func play(t *testing.T, pressures []Pressure) {
 	t.Helper()
-	r, err := Play(Setup{Program: builtBinary, Dir: t.TempDir(), Cores: 1, MemoryMB: *memoryMB, Sockets: *sockets, Seed: *seed}, pressures, *playTime)
+	check(t, Setup{Program: builtBinary, Dir: t.TempDir(), Cores: 1, MemoryMB: *memoryMB, Sockets: *sockets, Seed: *seed}, pressures, *playTime)
+}
+
+// check runs a proxy under pressure and checks what holds under any: the process stays up and within its memory, and each
+// well-behaved request gets an answer.
+func check(t *testing.T, s Setup, pressures []Pressure, length time.Duration) {
+	t.Helper()
+	r, err := Play(s, pressures, length)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Log(r)
-	if r.Ended || r.PeakBytes > int64(*memoryMB)<<20 {
-		t.Errorf("ended %v, peak %d bytes, limit %d MB: %s", r.Ended, r.PeakBytes, *memoryMB, r.Log)
+	if r.Ended || r.PeakBytes > int64(s.MemoryMB)<<20 {
+		t.Errorf("ended %v, peak %d bytes, limit %d MB: %s", r.Ended, r.PeakBytes, s.MemoryMB, r.Log)
 	}
 	if r.Lost > 0 {
 		t.Errorf("%d requests got no answer", r.Lost)
@@ -73,3 +80,16 @@
 	}
 	play(t, pressures)
 }
+
+// Drawn runs: some kinds of hostile clients at once, reloads in series, planned restarts that are killed at the earliest.
+func TestHostileSoak(t *testing.T) {
+	length := max(*playTime, longestDeadline+killGrace+time.Second)
+	for i := range *soakRuns {
+		s, pressures := Draw(Setup{Program: builtBinary, Seed: *seed + uint64(i)}, length)
+		t.Run(fmt.Sprint(s.Seed), func(t *testing.T) {
+			s.Dir = t.TempDir()
+			t.Logf("%d descriptors, %v, signals %v", s.Sockets, pressures, s.Signals)
+			check(t, s, pressures, length)
+		})
+	}
+}
--- a/lab/hostile/play.go
+++ b/lab/hostile/play.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -19,8 +20,23 @@
 	MemoryMB int
 	Sockets  int
 	Seed     uint64
+	Signals  []Signal // in the order of their times
 }
 
+// Signal is sent to the process at a time since the start of the run. After SIGTERM the process is killed at the earliest moment that
+// the platform allows; clients go on using the connections that they have.
+type Signal struct {
+	At     time.Duration
+	Signal syscall.Signal
+}
+
+const (
+	// longestDeadline is that of the classes in the proxy's settings.
+	longestDeadline = 2 * time.Second
+	// killGrace is how long after SIGTERM and the longest deadline the platform kills a process at the earliest.
+	killGrace = 700 * time.Millisecond
+)
+
 // Pressure is a number of hostile clients of one kind.
 type Pressure struct {
 	Kind    Kind
@@ -66,7 +82,9 @@
 	defer p.stop()
 	until := time.Now().Add(duration)
 	stall := watchStalls(until)
+	peak := p.watchPeak()
 	count := &tally{}
+	stopping := &atomic.Bool{}
 	var wait sync.WaitGroup
 	start := func(run func()) {
 		wait.Add(1)
@@ -76,8 +94,9 @@
 		}()
 	}
 	for n := range wellBehavedClients {
-		start(func() { newClient(p.addr, n, count).run(until) })
+		start(func() { newClient(p.addr, n, count, stopping).run(until) })
 	}
+	start(func() { p.sendSignals(s.Signals, stopping) })
 	number := 0
 	for _, pressure := range pressures {
 		for range pressure.Clients {
@@ -89,11 +108,9 @@
 	wait.Wait()
 	result := count.result()
 	result.LongestStall = time.Duration(stall.Load())
-	result.Ended, result.Log = p.hasEnded(), p.logTail()
-	if !result.Ended {
-		result.PeakBytes, err = p.peakMemory()
-	}
-	return result, err
+	result.Ended, result.Log = p.hasEnded() && !stopping.Load(), p.logTail()
+	result.PeakBytes = peak.Load()
+	return result, nil
 }
 
 // watchStalls measures, until the given time, the longest time for which this program did not run.
--- a/lab/hostile/process.go
+++ b/lab/hostile/process.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -155,6 +156,36 @@
 	return 0, errors.New("no peak of resident memory in the process's status")
 }
 
+// watchPeak reads the process's peak of memory until it ends.
+func (p *proxy) watchPeak() *atomic.Int64 {
+	peak := &atomic.Int64{}
+	go func() {
+		for !p.hasEnded() {
+			if bytes, err := p.peakMemory(); err == nil {
+				peak.Store(max(peak.Load(), bytes))
+			}
+			time.Sleep(pollInterval)
+		}
+	}()
+	return peak
+}
+
+// sendSignals sends signals at their times since now, and SIGKILL at the platform's earliest after a SIGTERM.
+func (p *proxy) sendSignals(signals []Signal, stopping *atomic.Bool) {
+	begun := time.Now()
+	for _, s := range signals {
+		time.Sleep(time.Until(begun.Add(s.At)))
+		if s.Signal == syscall.SIGTERM {
+			stopping.Store(true)
+		}
+		p.cmd.Process.Signal(s.Signal)
+		if s.Signal == syscall.SIGTERM {
+			time.Sleep(longestDeadline + killGrace)
+			p.cmd.Process.Kill()
+		}
+	}
+}
+
 // stop ends the process and waits for its end.
 func (p *proxy) stop() {
 	p.cmd.Process.Kill()
--- a/lab/hostile/servers.go
+++ b/lab/hostile/servers.go
@@ -30,6 +30,7 @@
 const (
 	largeKeyPrefix = "large" // a value of largeValueSize
 	longKeyPrefix  = "long"  // a value of longValueSize, written slowly
+	slowKeyPrefix  = "slow"  // the origin reads a write's value slowly
 )
 
 // servers are the stand-ins for everything that a proxy talks to: caches, the origin and the discovery agent.
@@ -103,6 +104,9 @@
 
 // serveOrigin stores nothing: it answers a write with its id, and a read with a short value.
 func serveOrigin(out http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, "/"+slowKeyPrefix) {
+		r.Body = io.NopCloser(slowReader{r.Body})
+	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
@@ -110,6 +114,16 @@
 	io.WriteString(out, answerValue("", r.Header.Get("X-Trace-Id")))
 }
 
+// slowReader reads slowPieceBytes at most, after longValuePieceInterval.
+type slowReader struct{ io.Reader }
+
+const slowPieceBytes = 16 << 10
+
+func (r slowReader) Read(dest []byte) (int, error) {
+	time.Sleep(longValuePieceInterval)
+	return r.Reader.Read(dest[:min(len(dest), slowPieceBytes)])
+}
+
 // acceptAll serves each connection of a listener on a goroutine of its own until the listener is closed.
 func acceptAll(l net.Listener, serve func(net.Conn)) {
 	for {
