Split the handling of a request from that of a command, and play hostile clients alone

After a panic inside it nothing is given back by the reader, since the engine may hold the request: the collector finds the blocks. lab/hostile is tested after the other packages, like lab/run: it plays a process by the clock.

--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -10,8 +10,6 @@
 	"github.com/tidwall/redcon"
 
 	"minttray/internal/buffer"
-	"minttray/internal/engine"
-	"minttray/internal/figures"
 	"minttray/internal/memory"
 )
 
@@ -184,69 +182,17 @@
 // handleCommand handles one command, whose last byte arrived at received or later. value holds a write's value that was read
 // apart from the words, and is nil otherwise. It reports whether to read on.
 func (c *conn) handleCommand(words [][]byte, value *writeValue, received time.Time) bool {
-	submitted := false
-	defer func() {
-		if value != nil && !submitted {
-			value.release()
-		}
-	}()
 	name := strings.ToUpper(string(words[0][:min(len(words[0]), maxCommandName)]))
-	if c.badCommands >= maxBadCommands || c.overflow && name != "PING" {
+	isRequest := name == "CACHE.GET" || name == "CACHE.SET"
+	busy := c.badCommands >= maxBadCommands || c.overflow && name != "PING"
+	if isRequest && !busy {
+		return c.handleRequest(words, name == "CACHE.SET", value, received)
+	}
+	value.release()
+	if busy {
 		return c.refuseBusy(name)
 	}
 	switch name {
-	case "CACHE.GET", "CACHE.SET":
-		names := c.server.names.Load()
-		op, err := names.parseRequest(words, name == "CACHE.SET", received)
-		if err != nil {
-			return c.rejectCommand(&c.server.malformed, err)
-		}
-		op.MarkRead(time.Now())
-		s := &slot{conn: c, op: op, class: names.classes[op.Category]}
-		op.Reply = s
-		properties, err := c.server.keepProperties(op)
-		if err != nil {
-			c.server.rejected.Add(1)
-			return c.refuse(s, noPropertyMemory)
-		}
-		defer func() {
-			if !submitted {
-				properties.Release()
-			}
-		}()
-		if value != nil {
-			value.attach(op)
-		}
-		if release := op.OnRelease; properties != nil {
-			op.OnRelease = func() {
-				properties.Release()
-				if release != nil {
-					release()
-				}
-			}
-		}
-		op.Request.MayStream = s.mayStream
-		if !c.reserve(s) {
-			return false
-		}
-		c.submitting = s
-		err = c.server.Engine.Submit(op)
-		c.submitting = nil
-		if err == nil {
-			submitted = true
-			return true
-		}
-		s.disown(notAccepted + refusal(err.Error()))
-		if errors.Is(err, engine.ErrDuplicateID) {
-			// The op that has this id is left untouched: its value belongs to its own client alone.
-			c.server.duplicates.Add(1)
-			s.answerLine(figures.Failed, errorLine(err))
-			c.badCommands++
-			return true
-		}
-		c.server.rejected.Add(1)
-		s.Nacked(0) // without a retry delay
-		return true
 	case "PING":
 		if c.server.lameDuck.Load() {
 			return c.reserve(&slot{conn: c, answer: lameDuckLine})
@@ -258,31 +204,6 @@
 	return c.rejectCommand(&c.server.malformed, errors.New("unknown command '"+name+"'"))
 }
 
-// keepProperties moves an op's properties from the read buffer to memory of their own, which is a block if they are long.
-func (srv *Server) keepProperties(op *engine.Op) (*memory.Block, error) {
-	size := op.Request.Properties.Size()
-	if size <= engine.MaxInlineBytes {
-		op.Request.Properties = op.Request.Properties.CopyTo(make([]byte, size))
-		return nil, nil
-	}
-	block, err := srv.Blocks.Properties.AcquireNow()
-	if err != nil {
-		return nil, err
-	}
-	op.Request.Properties = op.Request.Properties.CopyTo(block.Bytes())
-	return block, nil
-}
-
-// refuse refuses a request that is not submitted. It reports whether to read on.
-func (c *conn) refuse(s *slot, reason refusal) bool {
-	if !c.reserve(s) {
-		return false
-	}
-	s.disown(reason)
-	s.Nacked(0) // without a retry delay
-	return true
-}
-
 // refuseBusy answers requests with BUSY on a connection that was admitted above the limit, or that has reached
 // maxBadCommands: requests that were read in the same batch are still answered before the close. Other commands are
 // ignored.
--- a/internal/front/write_value.go
+++ b/internal/front/write_value.go
@@ -29,17 +29,22 @@
 // isLong reports whether the value takes part of the budget of long values.
 func (v *writeValue) isLong() bool { return v.size > engine.MaxContiguousBytes }
 
-// attach makes the value that of an op, which releases it.
+// attach makes the value that of an op. A nil value is none.
 func (v *writeValue) attach(op *engine.Op) {
-	if op.OnRelease = v.release; v.isLong() {
+	switch {
+	case v == nil:
+	case v.isLong():
 		op.Request.Parts = v.parts
-	} else {
+	default:
 		op.Request.Value = v.parts[0]
 	}
 }
 
-// release gives the memory back.
+// release gives the memory back. A nil value has none.
 func (v *writeValue) release() {
+	if v == nil {
+		return
+	}
 	for _, block := range v.blocks {
 		block.Release()
 	}
@@ -133,9 +138,7 @@
 	input := &valueInput{conn: c, buffered: c.buf.Bytes()[tooLong.Offset:], deadline: time.Now().Add(longValueTimeout)}
 	value, err := input.receive(tooLong.Length, words)
 	if err != nil {
-		if value != nil {
-			value.release()
-		}
+		value.release()
 		if errors.Is(err, errLongValue) {
 			c.rejectAndStop(&c.server.partialTimeouts, err)
 		} else if errors.Is(err, errFraming) {
--- a/tools/citest/main.go
+++ b/tools/citest/main.go
@@ -19,7 +19,7 @@
 
 // exclusivePackages are tested one at a time, after all others: they run real processes in real time, and load on the
 // machine makes their runs void.
-var exclusivePackages = []string{"minttray/lab/run"}
+var exclusivePackages = []string{"minttray/lab/run", "minttray/lab/hostile"}
 
 func main() {
 	if err := run(os.Args[1:]); err != nil {
