--- a/lab/hostile/play.go
+++ b/lab/hostile/play.go
@@ -51,8 +51,10 @@
 
 	// Requests of the well-behaved clients, by how they ended.
 	Served, Refused, Failed int
-	Late                    int // got their answer later than lateAfter
-	Lost                    int // got no answer
+	Late                    int      // got their answer later than lateAfter
+	Shut                    int      // found no connection that was read, for as long as their clients waited
+	Lost                    int      // got no answer on a connection that was not closed, or a cut one
+	Unanswered              []string // of the first of these, how each try ended
 
 	Median, Max  time.Duration // of the well-behaved clients' answers
 	LongestStall time.Duration // for which this program itself did not run
@@ -60,8 +62,8 @@
 
 // String returns the result on one line.
 func (r Result) String() string {
-	return fmt.Sprintf("peak %.1f MB, served %d, refused %d, failed %d, late %d, lost %d, median %v, max %v, own stall %v",
-		float64(r.PeakBytes)/(1<<20), r.Served, r.Refused, r.Failed, r.Late, r.Lost, r.Median.Round(time.Millisecond/10),
+	return fmt.Sprintf("peak %.1f MB, served %d, refused %d, failed %d, late %d, shut %d, lost %d, median %v, max %v, own stall %v",
+		float64(r.PeakBytes)/(1<<20), r.Served, r.Refused, r.Failed, r.Late, r.Shut, r.Lost, r.Median.Round(time.Millisecond/10),
 		r.Max.Round(time.Millisecond), r.LongestStall.Round(time.Millisecond))
 }
 
@@ -145,6 +147,9 @@
 		t.counts.Refused++
 	case failed:
 		t.counts.Failed++
+	case shut:
+		t.counts.Shut++
+		return
 	case lost:
 		t.counts.Lost++
 		return
@@ -155,6 +160,18 @@
 	}
 }
 
+// maxExplained bounds the lost requests that a result tells of.
+const maxExplained = 10
+
+// explain records how the tries of a request without an answer ended.
+func (t *tally) explain(id string, tries []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.counts.Unanswered) < maxExplained {
+		t.counts.Unanswered = append(t.counts.Unanswered, fmt.Sprintf("%s: %q", id, tries))
+	}
+}
+
 func (t *tally) result() Result {
 	t.mu.Lock()
 	defer t.mu.Unlock()
