Read a value as it comes where the kernel has no room for it, or does not count its bytes

The wait for a value's arrival relied on a receive buffer that grows with what is waited for, and on the system's count of the bytes. With a receive buffer of a fixed 16 KiB a write of 64 KiB was never read whole and got an error after 2.5 s: found by a test, no caller saw it. Change: a value of which 16 KiB have come and nothing more for 0.1 s is read as it comes; so is one whose socket is readable and counts no bytes. TestAValueLargerThanTheReceiveBufferArrives fails with the rule taken out (buffers of 16, 12 and 8 KiB; 24 and 32 pass either way). Values in pieces of any size over TCP and Unix sockets are a test too.

--- a/internal/front/arrival_reader.go
+++ b/internal/front/arrival_reader.go
@@ -102,9 +102,12 @@
 	err := r.raw.Read(func(fd uintptr) bool {
 		for {
 			before := time.Now()
+			events := pollEvents(fd, unix.POLLIN|unix.POLLRDHUP)
 			available, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ)
-			closed = hasRemoteClose(pollEvents(fd, unix.POLLRDHUP))
-			if closed || err != nil || available >= n {
+			closed = hasRemoteClose(events)
+			// Input of no bytes: the system does not count the bytes of this socket, which is read as they come.
+			uncounted := available == 0 && events&unix.POLLIN != 0
+			if closed || err != nil || uncounted || available >= n {
 				return true
 			}
 			r.emptyAt = before // the last of the bytes is still to come
@@ -125,6 +128,14 @@
 	return err
 }
 
+// available returns the number of bytes that can be read without blocking, as far as the system tells.
+func (r *arrivalReader) available() (n int) {
+	if r.raw != nil {
+		r.raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
+	}
+	return n
+}
+
 // hasRemoteClose is the function of this name on the reader's connection, without a wait.
 func (r *arrivalReader) hasRemoteClose() (closed bool) {
 	if r.raw != nil {
--- a/internal/front/arrival_reader_test.go
+++ b/internal/front/arrival_reader_test.go
@@ -218,3 +218,43 @@
 	o := receive(t, e.submitted)
 	checkDeadline(t, o, begun.Add(-2*receiveTimeResolution), written)
 }
+
+// A value larger than the socket's receive buffer must not wait for room that nobody makes.
+func TestAValueLargerThanTheReceiveBufferArrives(t *testing.T) {
+	srv, e := startServer(t, nil)
+	c := connPairOn(t, "tcp", "127.0.0.1:0", func(nc net.Conn) {
+		nc.(*net.TCPConn).SetReadBuffer(16 << 10) // fixed: the kernel does not grow it
+		srv.admit(nc, time.Now())
+	})
+	c.send(command("CACHE.SET", "k", "id", "c=put,d=5000", strings.Repeat("v", 64<<10)))
+	if o := receive(t, e.submitted); len(o.Request.Value) != 64<<10 {
+		t.Errorf("a value of %d bytes", len(o.Request.Value))
+	}
+}
+
+// Values must come whole whether they arrive at once or in pieces, and on any kind of socket.
+func TestValuesArriveInPiecesOfAnySize(t *testing.T) {
+	srv, e := startServer(t, nil)
+	value := strings.Repeat("0123456789abcdef", 4<<10)
+	for _, network := range []string{"tcp", "unix"} {
+		address := "127.0.0.1:0"
+		if network == "unix" {
+			address = filepath.Join(t.TempDir(), "s")
+		}
+		for _, piece := range []int{1 << 20, 9000, 1500} {
+			c := connPairOn(t, network, address+map[bool]string{true: fmt.Sprint(piece)}[network == "unix"], func(nc net.Conn) { srv.admit(nc, time.Now()) })
+			text := command("CACHE.SET", "k", fmt.Sprint(network, piece), "c=put,d=5000", value) + command("PING")
+			for rest := text; rest != ""; {
+				n := min(len(rest), piece)
+				c.send(rest[:n])
+				rest = rest[n:]
+			}
+			o := receive(t, e.submitted)
+			if string(o.Request.Value) != value {
+				t.Errorf("%s in pieces of %d: a value of %d bytes", network, piece, len(o.Request.Value))
+			}
+			o.Reply.Acked([]byte("r"))
+			c.expect("$1", "r", "+PONG")
+		}
+	}
+}
--- a/internal/front/write_value.go
+++ b/internal/front/write_value.go
@@ -190,21 +190,47 @@
 	return value, in.readLineEnd()
 }
 
-// awaitArrival waits until the kernel holds n further bytes.
+const (
+	// arrivalCheckInterval is the time between two looks at how much of a value the kernel holds.
+	arrivalCheckInterval = 100 * time.Millisecond
+	// leastReceiveWindow is the number of bytes from which a value that has stopped arriving may have stopped for lack of room.
+	leastReceiveWindow = 16 << 10
+)
+
+// awaitArrival waits until the kernel holds n further bytes, or as many of them as it seems to have room for.
 func (in *valueInput) awaitArrival(n int) error {
-	for arrived := n <= 0; !arrived; {
-		err := in.attempt(func() error {
-			waitErr := in.conn.source.waitBuffered(n)
-			arrived = waitErr == nil
-			return waitErr
-		})
-		if err != nil {
+	for available := 0; n > 0; {
+		arrived, err := in.awaitFor(n, arrivalCheckInterval)
+		if arrived || err != nil {
 			return err
 		}
+		before := available
+		if available = in.conn.source.available(); available == before && available >= leastReceiveWindow {
+			return nil
+		}
 	}
 	return nil
 }
 
+// awaitFor waits for awaitArrival, for a time at most.
+func (in *valueInput) awaitFor(n int, limit time.Duration) (arrived bool, err error) {
+	latest := time.Now().Add(limit)
+	if latest.After(in.deadline) {
+		latest = in.deadline
+	}
+	if !in.conn.setLongReadDeadline(latest) {
+		return false, errLongValue
+	}
+	err = in.conn.source.waitBuffered(n)
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err == nil, err
+	}
+	if in.conn.startGrace() || time.Now().Before(in.deadline) {
+		return false, nil
+	}
+	return false, errLongValue
+}
+
 // fill reads a value whole.
 func (in *valueInput) fill(value *writeValue) error {
 	for remaining := value.size; remaining > 0; {
