--- a/internal/engine/addresses_test.go
+++ b/internal/engine/addresses_test.go
@@ -61,3 +61,20 @@
 		t.Errorf("a free address: %v", got)
 	}
 }
+
+// A server that has moved must not be taken for gone when another one comes up at its old address, nor servers that change places.
+func TestAServerThatMovedIsNotReplacedAtItsOldAddress(t *testing.T) {
+	var owners addressOwners
+	owners.update([]Member{at(1, "a", 10, policy.Ready), at(2, "b", 20, policy.Ready)}, true)
+	for _, changes := range [][]Member{
+		{at(1, "c", 10, policy.Ready)},                               // moves
+		{at(3, "a", 30, policy.Ready)},                               // comes up where it was
+		{at(1, "b", 10, policy.Ready), at(2, "c", 20, policy.Ready)}, // change places
+	} {
+		for _, m := range owners.update(changes, false) {
+			if m.State == policy.Gone {
+				t.Errorf("%+v: server %d is taken for gone", changes, m.ID)
+			}
+		}
+	}
+}
