--- a/internal/front/arrival_reader.go
+++ b/internal/front/arrival_reader.go
@@ -91,8 +91,8 @@
 }
 
 // waitBuffered waits until n bytes can be read without blocking. It returns io.EOF if the client has closed its sending side or the
-// connection has broken, also if the bytes are there. The kernel keeps the bytes meanwhile, so a client that is slow or stops holds no memory of the process. Like a Read it
-// ends at the read deadline, and it must not be called during one.
+// connection has broken, also if the bytes are there. The kernel keeps the bytes meanwhile, so a client that is slow or stops holds no
+// memory of the process. Like a Read it ends at the read deadline, and it must not be called during one.
 func (r *arrivalReader) waitBuffered(n int) error {
 	if r.raw == nil {
 		return nil
--- a/lab/hostile/slow_server_test.go
+++ b/lab/hostile/slow_server_test.go
@@ -26,18 +26,25 @@
 	return p.addr
 }
 
+// connect opens a connection that ends with the test.
+func connect(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(answerTimeout))
+	return c
+}
+
 // A long answer that its server writes for longer than its client's deadline must reach the client whole.
 func TestALongAnswerThatIsWrittenSlowlyIsNotCut(t *testing.T) {
 	addr := startAlone(t)
 	for i := range 3 {
 		t.Run(fmt.Sprint(i), func(t *testing.T) {
 			t.Parallel()
-			c, err := net.Dial("tcp", addr)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer c.Close()
-			c.SetDeadline(time.Now().Add(answerTimeout))
+			c := connect(t, addr)
 			id := fmt.Sprint("slow", i)
 			writeAll(c, encode("CACHE.GET", fmt.Sprint(longKeyPrefix, i), id, "c=read,t=acme,d=1000"))
 			r := bufio.NewReader(c)
@@ -61,12 +68,7 @@
 		for _, size := range []int{60 << 10, 500 << 10, 2 << 20} {
 			t.Run(fmt.Sprint(class, size), func(t *testing.T) {
 				t.Parallel()
-				c, err := net.Dial("tcp", addr)
-				if err != nil {
-					t.Fatal(err)
-				}
-				defer c.Close()
-				c.SetDeadline(time.Now().Add(answerTimeout))
+				c := connect(t, addr)
 				properties := fmt.Sprintf("c=%s,t=acme,d=%d", class, wait.Milliseconds())
 				writeAll(c, encode("CACHE.SET", fmt.Sprint(slowKeyPrefix, class, size), fmt.Sprint("w", class, size), properties, strings.Repeat("v", size)))
 				sent := time.Now()
