--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,5 +5,5 @@
 mkdir -p bin
 for n in 6 7 8 9 10; do
 	[ -d "review/rig-2/case$n" ] || continue
-	go build -o "bin/review-2-$n" "./review/rig-2/case$n"
+	CGO_ENABLED=0 go build -o "bin/review-2-$n" "./review/rig-2/case$n"
 done
--- a/review/rig-2/case7/main.go
+++ b/review/rig-2/case7/main.go
@@ -1,54 +1,58 @@
-// Command case7 tells a proxy to end, as a planned restart does, while clients with a slow request send a further one on the same connection,
-// which stays open.
+// Command case7 plays caches whose second copies of an answer come some milliseconds late, and clients that look whose value they get.
 package main
 
 import (
-	"errors"
 	"fmt"
-	"net"
-	"net/http"
-	"os"
+	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	rig2 "minttray/review/rig-2"
 )
 
 const (
-	rounds     = 3 // proxies that are told to end, one after another
-	clients    = 8 // of each
-	slow       = 2200 * time.Millisecond
-	ttl        = 2800 * time.Millisecond
-	afterTerm  = 1000 * time.Millisecond // from SIGTERM to the further request
-	killBehind = 700 * time.Millisecond  // from SIGTERM and the longest deadline to SIGKILL
+	length       = 40 * time.Second
+	oneWay       = 8 * time.Millisecond  // between two zones; the site files have 5.6 to 10 ms
+	copyShare    = 20                    // one answer in this many is followed by a second copy
+	latestCopy   = 12 * time.Millisecond // of a copy behind its answer
+	clientsEach  = 16                    // clients of each proxy
+	clientWaitMS = 600
 )
 
 func main() { rig2.Main(play) }
 
 func play(c *rig2.Case) (int, error) {
-	origin, err := rig2.StartOrigin("origin-0", "a")
-	if err != nil {
-		return rig2.Unable, err
-	}
-	origin.Handle = func(r *http.Request, body string, conn *net.TCPConn) bool {
-		id := r.Header.Get("X-Trace-Id")
-		c.Log("origin runs %s %s of %s", r.Method, r.URL.Path, id)
-		receipt := id + " receipt"
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(receipt), receipt)
-		return true
+	zones := []string{"a", "b", "c"}
+	settings := func(index int) rig2.JSON {
+		return rig2.Settings(index, 2, zones, []rig2.Category{{Name: "read", Effect: "read_like", TargetMS: 400, TTL: 800}})
 	}
-	list := []rig2.Instance{origin.Instance}
-	for i := range 4 {
-		cache, err := rig2.StartCache(fmt.Sprintf("box-%d", i), "a")
+	var copies, served, foreign, other atomic.Int64
+	var list []rig2.Instance
+	for i := range 6 {
+		cache, err := rig2.StartCache(fmt.Sprintf("box-%d", i), zones[i%3])
 		if err != nil {
 			return rig2.Unable, err
 		}
+		if cache.Zone != "a" {
+			cache.OneWay = oneWay
+		}
 		cache.Handle = func(command rig2.Command) {
-			time.Sleep(slow)
-			c.Log("%s answers %s", cache.ID, command.ID())
-			cache.Send(command.Conn, rig2.Hit(command.ID()+" value"))
+			time.Sleep(time.Duration(4+rand.IntN(8)) * time.Millisecond)
+			answer := rig2.Hit(command.ID() + " made for this request by " + cache.ID)
+			c.Log("%s runs and answers %s", cache.ID, command.ID())
+			cache.Send(command.Conn, answer)
+			if c.Trouble && rand.IntN(copyShare) == 0 {
+				go func() {
+					late := time.Duration(rand.Int64N(int64(latestCopy)))
+					time.Sleep(late)
+					if cache.SendIfIdle(command.Conn, answer) {
+						copies.Add(1)
+						c.Log("%s sends the answer of %s a second time, %.1f ms behind it, nothing else waits", cache.ID, command.ID(), late.Seconds()*1000)
+					}
+				}()
+			}
 		}
 		list = append(list, cache.Instance)
 	}
@@ -56,76 +60,59 @@
 	if err != nil {
 		return rig2.Unable, err
 	}
-	var answered, lost, first atomic.Int64
-	for round := range rounds {
-		proxy, err := c.StartProxy(fmt.Sprintf("n%d", round), fmt.Sprintf("%016x", 0xe4d+round), agent.Addr, agent.Known(), rig2.Settings(0, 1, []string{"a"}, []rig2.Category{
-			{Name: "read", Effect: "read_like", TargetMS: 2600, TTL: int(ttl.Milliseconds())},
-			{Name: "book", Effect: "non_idempotent", TargetMS: 1500, TTL: int(ttl.Milliseconds())}}))
+	var clients sync.WaitGroup
+	end := time.Now().Add(length)
+	for i := range 2 {
+		proxy, err := c.StartProxy(fmt.Sprintf("n%d", i), fmt.Sprintf("%016x", 0x5eed+i), agent.Addr, agent.Known(), settings(i))
 		if err != nil {
 			return rig2.Unable, err
 		}
-		time.Sleep(time.Second)
-		var all sync.WaitGroup
-		term := time.Now().Add(600 * time.Millisecond)
-		for n := range clients {
-			time.Sleep(40 * time.Millisecond)
-			client, err := rig2.Dial(proxy.Addr)
-			if err != nil {
-				return rig2.Unable, err
-			}
-			all.Add(1)
+		for range clientsEach {
+			clients.Add(1)
 			go func() {
-				defer all.Done()
-				defer client.Close()
-				read, book := rig2.NewID(), rig2.NewID()
-				client.Send(rig2.Get(fmt.Sprintf("%016x", 1000*round+n+1), read, "read", 2700))
-				c.Log("client %d: %s is written", n, read)
-				time.Sleep(time.Until(term.Add(afterTerm)))
-				if early, err := client.Receive(2 * time.Millisecond); err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
-					c.Log("client %d: %s has ended before, nothing further is sent: %q %v", n, read, early.Line, err)
-					return
+				defer clients.Done()
+				var conn *rig2.Client
+				for time.Now().Before(end) {
+					if conn == nil {
+						if conn, err = rig2.Dial(proxy.Addr); err != nil {
+							time.Sleep(100 * time.Millisecond)
+							continue
+						}
+					}
+					id := rig2.NewID()
+					err := conn.Send(rig2.Get(fmt.Sprintf("%016x", 1+rand.IntN(400)), id, "read", clientWaitMS))
+					var answer rig2.Answer
+					if err == nil {
+						answer, err = conn.Receive(3 * time.Second)
+					}
+					switch {
+					case err != nil:
+						c.Log("client: %s: %v", id, err)
+						conn.Close()
+						conn = nil
+						other.Add(1)
+					case !answer.Served:
+						c.Log("client: %s: %s", id, answer.Line)
+						other.Add(1)
+					case strings.HasPrefix(answer.Value, id+" "):
+						served.Add(1)
+					default:
+						foreign.Add(1)
+						c.Log("client: FOREIGN: request %s was answered with %q", id, answer.Value)
+					}
+					time.Sleep(time.Duration(10+rand.IntN(30)) * time.Millisecond)
 				}
-				if err := client.Send(rig2.Set(fmt.Sprintf("%016x", 1000*round+n+1), book, "book", 2000, "a booking")); err != nil {
-					c.Log("client %d: %v", n, err)
-					return
-				}
-				written := time.Now()
-				c.Log("client %d: the connection is open, %s still waits; %s is written whole behind it", n, read, book)
-				answer, err := client.Receive(4 * time.Second)
-				c.Log("client %d: %s: %s %s %v", n, read, answer.Line, answer.Value, err)
-				if err == nil && answer.Served {
-					first.Add(1)
-				}
-				if err == nil {
-					answer, err = client.Receive(4 * time.Second)
-				}
-				if err != nil {
-					lost.Add(1)
-					c.Log("client %d: LOST: %s, written whole %.3f s before the connection's end, has no answer: %v", n, book, time.Since(written).Seconds(), err)
-					return
-				}
-				answered.Add(1)
-				c.Log("client %d: %s: %s %s", n, book, answer.Line, answer.Value)
 			}()
 		}
-		time.Sleep(time.Until(term))
-		if c.Trouble {
-			c.Log("SIGTERM to %s", proxy.Name)
-			proxy.Process.Signal(syscall.SIGTERM)
-		}
-		time.Sleep(time.Until(term.Add(ttl + killBehind)))
-		if c.Trouble {
-			c.Log("SIGKILL to %s, if it has not ended", proxy.Name)
-			proxy.Process.Kill()
-		}
-		all.Wait()
 	}
-	c.Say("%d slow requests served; of the requests sent behind them on an open connection %d were answered, %d never", first.Load(), answered.Load(), lost.Load())
+	clients.Wait()
+	c.Say("%d second copies; %d requests served with their own value, %d with a value made for another request, %d refused or failed",
+		copies.Load(), served.Load(), foreign.Load(), other.Load())
 	switch {
-	case lost.Load() > 0:
+	case served.Load() < 1000:
+		return rig2.Unable, fmt.Errorf("hardly anything was served")
+	case foreign.Load() > 0:
 		return rig2.Broken, nil
-	case answered.Load() == 0 && !c.Trouble:
-		return rig2.Unable, fmt.Errorf("no further request was sent")
 	}
 	return rig2.Held, nil
 }
