Review case 9: a connection is ended with 200 answers that wait behind a slow one

Cause: setAnswer takes answers that wait behind a slow one for answers that their client does not read, and ends the connection over an eighth of the memory. Nothing is mended.

--- a/review/rig-2/case9/main.go
+++ b/review/rig-2/case9/main.go
@@ -1,9 +1,10 @@
-// Command case9 plays a cache that writes a long value in pieces, for longer than its client would wait for the first bytes, and a client that
-// sends two commands at once.
+// Command case9 plays an origin that is slow for a while, and clients that send many commands on a connection and read all that they are sent.
 package main
 
 import (
 	"fmt"
+	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -12,42 +13,73 @@
 )
 
 const (
-	rounds    = 8
-	valueSize = 2 << 20
-	pieceSize = 32 << 10
-	pieceWait = 40 * time.Millisecond // between two pieces: 64 pieces take 2.6 s
-	waitMS    = 1400
+	memoryMB   = 32
+	rounds     = 3 // each with a proxy that has just started
+	clients    = 10
+	batches    = 24 // of each client behind its first request
+	batchSize  = 10 // commands sent at once
+	batchEvery = 90 * time.Millisecond
+	valueSize  = 2000
+	usual      = 330 * time.Millisecond  // of the origin, for a fetch
+	slowed     = 2200 * time.Millisecond // 6.7 times slower
+	waitMS     = 2450
 )
 
 func main() { rig2.Main(play) }
 
-// transfer is a long value on its way from a cache.
-type transfer struct {
-	first, last time.Time // when its first and last piece were written
-	pieces      int
-	cutOff      bool // the proxy ended the connection before the last piece
+// answers are the requests that a cache or the origin has answered.
+type answers struct {
+	mu  sync.Mutex
+	ids map[string]bool
+}
+
+func (a *answers) add(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ids[id] = true
+}
+
+func (a *answers) has(id string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ids[id]
 }
 
 func play(c *rig2.Case) (int, error) {
-	var mu sync.Mutex
-	transfers := map[string]*transfer{} // the last one, by request
-	var list []rig2.Instance
-	for i := range 4 {
+	c.MemoryMB = memoryMB
+	origin, err := rig2.StartOrigin("origin-0", "a")
+	if err != nil {
+		return rig2.Unable, err
+	}
+	answered := &answers{ids: map[string]bool{}}
+	origin.Handle = func(r *http.Request, _ string, conn *net.TCPConn) bool {
+		id := r.Header.Get("X-Trace-Id")
+		if time.Sleep(usual); c.Trouble {
+			time.Sleep(slowed - usual)
+		}
+		value := id + " from the origin"
+		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(value), value); err != nil {
+			return false
+		}
+		answered.add(id)
+		c.Log("origin has answered %s", id)
+		return true
+	}
+	list := []rig2.Instance{origin.Instance}
+	for i := range 8 {
 		cache, err := rig2.StartCache(fmt.Sprintf("box-%d", i), "a")
 		if err != nil {
 			return rig2.Unable, err
 		}
 		cache.Handle = func(command rig2.Command) {
-			time.Sleep(10 * time.Millisecond)
-			if !strings.HasPrefix(command.Key(), "ffff") {
-				cache.Send(command.Conn, rig2.Hit(command.ID()+" short"))
+			time.Sleep(3 * time.Millisecond)
+			id := command.ID()
+			if strings.HasPrefix(command.Key(), "bbbb") {
+				cache.Send(command.Conn, rig2.Miss)
 				return
 			}
-			t := &transfer{first: time.Now()}
-			mu.Lock()
-			transfers[command.ID()] = t
-			mu.Unlock()
-			writePieces(c, cache.ID, command, t, &mu)
+			answered.add(id)
+			cache.Send(command.Conn, rig2.Hit(id+" "+strings.Repeat("v", valueSize-len(id)-1)))
 		}
 		list = append(list, cache.Instance)
 	}
@@ -55,79 +87,97 @@
 	if err != nil {
 		return rig2.Unable, err
 	}
-	proxy, err := c.StartProxy("n0", "00000000000b0b0b", agent.Addr, agent.Known(), rig2.Settings(0, 1, []string{"a"}, []rig2.Category{
-		{Name: "read", Effect: "read_like", TargetMS: 800, TTL: 1500}}))
-	if err != nil {
-		return rig2.Unable, err
-	}
-	whole, cut := 0, 0
+	total := outcome{}
 	for round := range rounds {
-		client, err := rig2.Dial(proxy.Addr)
+		proxy, err := c.StartProxy(fmt.Sprintf("n%d", round), fmt.Sprintf("%016x", 0x10ad+round), agent.Addr, agent.Known(), rig2.Settings(0, 1, []string{"a"}, []rig2.Category{
+			{Name: "read", Effect: "read_like", TargetMS: 2400, TTL: 2500}}))
 		if err != nil {
 			return rig2.Unable, err
 		}
-		long, short := rig2.NewID(), rig2.NewID()
-		commands := []string{rig2.Get(fmt.Sprintf("ffff%012x", round+1), long, "read", waitMS)}
-		pipelined := round%2 == 0 // every second value is asked for alone, to compare
-		if pipelined {
-			commands = append(commands, rig2.Get(fmt.Sprintf("%016x", round+1), short, "read", waitMS))
-		}
-		if err := client.Send(commands...); err != nil {
-			return rig2.Unable, err
-		}
-		c.Log("client: %d commands at once, the first is %s", len(commands), long)
-		answer, err := client.Receive(10 * time.Second)
-		c.Log("client: %s: served %v, line %.60q, %d bytes, %v", long, answer.Served, answer.Line, len(answer.Value), err)
-		if pipelined && err == nil {
-			behind, err := client.Receive(5 * time.Second)
-			c.Log("client: %s: served %v, line %.60q, %v", short, behind.Served, behind.Line, err)
+		time.Sleep(500 * time.Millisecond)
+		outcomes := make(chan outcome)
+		for n := range clients {
+			time.Sleep(30 * time.Millisecond)
+			client, err := rig2.Dial(proxy.Addr)
+			if err != nil {
+				return rig2.Unable, err
+			}
+			go func() { outcomes <- ask(c, client, n, 100*round+n, answered) }()
 		}
-		time.Sleep(3 * pieceWait) // the cache sees the end of its connection
-		client.Close()
-		mu.Lock()
-		t := transfers[long]
-		switch {
-		case t == nil:
-			mu.Unlock()
-			return rig2.Unable, fmt.Errorf("%s never came to a cache", long)
-		case answer.Served && strings.HasPrefix(answer.Value, long+" "):
-			whole++
-		case t.cutOff:
-			cut++
-			c.Log("CUT OFF: the proxy ended the connection of %s to its cache after %d of %d pieces, %.3f s behind the first; its client was there, and nothing of the value reached it",
-				long, t.pieces, valueSize/pieceSize, t.last.Sub(t.first).Seconds())
+		for range clients {
+			o := <-outcomes
+			total.served += o.served
+			total.refused += o.refused
+			total.lost += o.lost
+			total.unknown += o.unknown
 		}
-		mu.Unlock()
+		c.Say("after round %d: %d requests served, %d refused or failed; %d lost (a server has answered them, their client has not been answered), %d others unanswered",
+			round+1, total.served, total.refused, total.lost, total.unknown)
 	}
-	c.Say("%d long values asked for, half of them with a further command behind: %d served whole, %d cut off while their cache still wrote", rounds, whole, cut)
 	switch {
-	case cut > 0:
+	case total.lost > 0:
 		return rig2.Broken, nil
-	case whole < rounds:
-		return rig2.Unable, fmt.Errorf("%d values neither served nor cut off", rounds-whole)
+	case total.served < 1000:
+		return rig2.Unable, fmt.Errorf("hardly anything was served")
 	}
 	return rig2.Held, nil
 }
 
-// writePieces writes a value in pieces, without the disruption at once.
-func writePieces(c *rig2.Case, name string, command rig2.Command, t *transfer, mu *sync.Mutex) {
-	answer := rig2.Hit(command.ID() + " " + strings.Repeat("v", valueSize-len(command.ID())-1))
-	c.Log("%s begins to write the value of %s", name, command.ID())
-	for from := 0; from < len(answer); from += pieceSize {
-		_, err := command.Conn.Write([]byte(answer[from:min(from+pieceSize, len(answer))]))
-		mu.Lock()
+type outcome struct{ served, refused, lost, unknown int }
+
+// ask is one client. It sends a request for a value that no cache has, and then ten commands at a time, while it reads.
+func ask(c *rig2.Case, client *rig2.Client, n, key int, answered *answers) (o outcome) {
+	defer client.Close()
+	sent := make(chan string, batches*batchSize+1) // in order; closed once all is sent
+	go func() {
+		defer close(sent)
+		send := func(commands []string, ids ...string) bool {
+			if client.Send(commands...) != nil {
+				return false
+			}
+			for _, id := range ids {
+				sent <- id
+			}
+			return true
+		}
+		id := rig2.NewID()
+		goOn := send([]string{rig2.Get(fmt.Sprintf("bbbb%012x", key), id, "read", waitMS)}, id)
+		for b := 0; b < batches && goOn; b++ {
+			time.Sleep(batchEvery)
+			var commands, ids []string
+			for k := range batchSize {
+				ids = append(ids, rig2.NewID())
+				commands = append(commands, rig2.Get(fmt.Sprintf("aaaa%012x", 1000*n+batchSize*b+k), ids[k], "read", waitMS))
+			}
+			goOn = send(commands, ids...)
+		}
+	}()
+	for id := range sent {
+		answer, err := client.Receive(6 * time.Second)
 		if err != nil {
-			t.cutOff = true
-			mu.Unlock()
-			c.Log("%s: the connection has ended under the value of %s: %v", name, command.ID(), err)
-			command.Conn.Close()
-			return
+			c.Log("client %d: the connection ended, the next answer was to be that to %s: %v", n, id, err)
+			o.unanswered(c, n, id, answered)
+			for id := range sent {
+				o.unanswered(c, n, id, answered)
+			}
+			return o
 		}
-		t.pieces, t.last = t.pieces+1, time.Now()
-		mu.Unlock()
-		if c.Trouble {
-			time.Sleep(pieceWait)
+		if answer.Served && strings.HasPrefix(answer.Value, id+" ") {
+			o.served++
+		} else {
+			o.refused++
+			c.Log("client %d: %s: %s", n, id, answer.Line)
 		}
 	}
-	c.Log("%s has written the value of %s whole", name, command.ID())
+	return o
+}
+
+// unanswered books a request that was written whole and has no answer.
+func (o *outcome) unanswered(c *rig2.Case, n int, id string, answered *answers) {
+	if !answered.has(id) {
+		o.unknown++
+		return
+	}
+	o.lost++
+	c.Log("client %d: LOST: %s, which a server has answered", n, id)
 }
