Give the pause behind a passed-on value an owner, which alone ends it

Cause: the pause of a connection's reader was a flag that every slot set and cleared. The second value was granted to be passed on, then the head of the first value came, could not be passed on itself, and ended the pause that the second one relied on. A value could also be granted on a pause that had ended, before its reader woke; and a request that was refused beside an earlier open one left the reader paused.

Change: conn.pauseOwner names the slot that the pause belongs to. Only that slot ends it: once its value is written, when it is answered otherwise, or when its value has to be held. The pause is owned before the reader's state is looked at. A paused reader counts as svc_connections{awaits="end of a long value"}.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -80,12 +80,12 @@
 	inputRechecked    bool         // the closing reader has checked once for a first command that arrived unread
 	closed            bool
 
-	readWait       readWait  // what the reader waits for, or has last waited for
-	readDeadline   time.Time // until when, as nextReadWait returned it
-	readTimedOut   bool      // the last read ended at readDeadline
-	pauseRequested bool      // the reader has to pause before its next read
-	readPaused     bool      // the reader pauses
-	readerChanged  sync.Cond // signals a change of readStopped, readPaused, readWait, slots or closed
+	readWait      readWait  // what the reader waits for, or has last waited for
+	readDeadline  time.Time // until when, as nextReadWait returned it
+	readTimedOut  bool      // the last read ended at readDeadline
+	pauseOwner    *slot     // the reader has to pause before its next read, until this slot gives the pause up; nil: it need not
+	readPaused    bool      // the reader pauses
+	readerChanged sync.Cond // signals a change of readStopped, readPaused, readWait, slots or closed
 
 	readerDone chan struct{} // closed once the reader has finished with the connection
 }
--- a/internal/front/peer.go
+++ b/internal/front/peer.go
@@ -97,20 +97,22 @@
 
 // waitPeerClosed aborts the connection, after a call of onGone, once the client has left. It returns earlier if done
 // reports true. done is evaluated again when the read deadline is set to pastDeadline, as by
-// closeGracefully and by the stop function of watchPeer.
-func (c *conn) waitPeerClosed(done func() bool, onGone func()) {
+// closeGracefully and by the stop function of watchPeer. It returns whether the client was watched until then: on a
+// connection that is no socket, or that is closed, it returns false at once.
+func (c *conn) waitPeerClosed(done func() bool, onGone func()) (isWatched bool) {
 	for {
 		c.nc.SetReadDeadline(time.Time{}) // before the check, so that a wake-up between the two is not undone
 		if done() {
-			return
+			return true
 		}
 		err := c.source.waitRemoteClose()
 		if err == nil {
 			onGone()
 			c.abort(clientGone)
+			return true
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			return
+			return false
 		}
 	}
 }
--- a/internal/front/read_wait.go
+++ b/internal/front/read_wait.go
@@ -12,10 +12,11 @@
 	waitNextCommand                  // no work is pending: the connection is idle
 	waitBesideWork                   // requests are open or their answers are being written; a further command or the client's departure is awaited
 	waitBeforeClose                  // the connection closes, and the rest of a command, or a first command, may have arrived
+	waitValueWritten                 // nothing is read until a long value that is passed on as it arrives has been written
 )
 
 var readWaitNames = [...]string{waitFirstCommand: "first command", waitCommandRest: "rest of a command", waitNextCommand: "next command",
-	waitBesideWork: "answers", waitBeforeClose: "close"}
+	waitBesideWork: "answers", waitBeforeClose: "close", waitValueWritten: "end of a long value"}
 
 func (w readWait) String() string { return readWaitNames[w] }
 
@@ -75,7 +76,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.hasUnhandledInput = len(c.buf.Bytes()) > 0
-	if c.pauseRequested && !c.closing && !c.hasUnhandledInput {
+	if c.pauseOwner != nil && !c.closing && !c.hasUnhandledInput {
 		c.pause()
 	}
 	wait, deadline, readOn := c.nextReadWait(time.Now())
--- a/internal/front/slot.go
+++ b/internal/front/slot.go
@@ -97,6 +97,9 @@
 		return
 	}
 	s.answer, s.outcome = answer, outcome
+	if body.Size == 0 {
+		c.resumeReading(s) // no value is passed on
+	}
 	c.unwrittenBytes += s.size()
 	total := c.server.unwrittenBytes.Add(int64(s.size()))
 	isFirst := c.slots[0] == s
--- a/internal/front/writer.go
+++ b/internal/front/writer.go
@@ -155,12 +155,12 @@
 		c.unwrittenBytes -= c.batch.size
 		c.server.unwrittenBytes.Add(-int64(c.batch.size))
 	}
+	for _, s := range c.batch.slots {
+		c.resumeReading(s)
+	}
 	c.batch.reset()
 	c.lastActive = time.Now()
 	c.spaceFreed.Signal()
-	if len(c.slots) == 0 {
-		c.resumeReading()
-	}
 	// The connection is not closed before the reader has stopped: a command that was read and has no slot yet would
 	// be lost.
 	return len(c.slots) > 0 && c.slots[0].answer != nil, c.canClose()
