Bound the time in which a failed call to discovery can hide a drain

Cause: the pause after a failed call was drawn from 0 to a limit that doubled up to twice ask-every-us, held to 8 s: 16 s. And a call after a failed one was a watch with the full wait, which hangs for 7 s where the service does not answer it.

Only an answered call is followed by a watch with the full wait.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,7 +9,9 @@
 	"reflect"
 	"slices"
 	"strconv"
+	"time"
 
+	"minttray/internal/discovery"
 	"minttray/internal/settings"
 	"minttray/policy"
 )
@@ -52,10 +54,15 @@
 	return slices.DeleteFunc(settings.FieldNames(reflect.TypeFor[file]()), func(name string) bool { return name == "settings" })
 }
 
-// maxAskEvery is the longest interval between two requests to discovery: 8 s. A change of the list must reach a proxy within
-// 6 s. A request that is answered late uses up to 2 s of these, and the next one follows a failed one within half of the
-// interval.
-const maxAskEvery = policy.Time(8 * 10000)
+// unitsPerSecond converts seconds to policy.Time.
+const unitsPerSecond = 10_000
+
+// maxAskEvery is the longest interval between two requests to discovery. A change of the list must reach a proxy within 6 s, also one
+// that has just started: its first request comes within half of the interval, and leaves 2 s for the answer.
+const maxAskEvery = policy.Time(8 * unitsPerSecond)
+
+// maxListPause is the longest pause after a failed request to discovery.
+var maxListPause = policy.Time(discovery.MaxOnDemandPause() * unitsPerSecond / time.Second)
 
 // minSockets leaves room for the listener, the runtime, discovery, and a few connections to clients and to caches.
 const minSockets = 64
@@ -136,6 +143,7 @@
 	if interval := &c.Settings.Policy.AskEvery; *interval == 0 || *interval > maxAskEvery {
 		*interval = maxAskEvery
 	}
+	c.Settings.Policy.MaxListPause = maxListPause
 	c.text, c.settings = text, f.Settings
 	return c, nil
 }
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -18,34 +18,12 @@
 
 	"github.com/rs/zerolog"
 
+	"minttray/decide/listwatch"
 	"minttray/decide/roster"
 	"minttray/internal/engine"
 	"minttray/policy"
 )
 
-// Timing of calls to a discovery service that all proxies share. They are made on demand: the decision module
-// requests the first one, and the next one after each failure.
-const (
-	onDemandWait    = 5 * time.Second // longest time that the service delays its response while the list is unchanged
-	onDemandTimeout = 3 * time.Second // limit for a response, beyond the wait; calls queue at the service
-	// onDemandWatchTimeout is the limit for a watch, beyond the wait: by then the service regards changes as delivered, whether or not they
-	// arrived.
-	onDemandWatchTimeout = 2 * time.Second
-)
-
-// Timing of calls to a discovery agent on the proxy's own machine, which responds immediately and at no cost. When a silent agent recovers,
-// the changes that it receives are regarded as delivered to the proxy at that moment, and a long call to the silent agent could outlast the
-// grace period of a drain. Calls after a failure are therefore short.
-const (
-	watchWait        = time.Second            // longest time that the agent delays its response while the list is unchanged
-	responseTimeout  = time.Second            // limit for a response, beyond the wait; also the dial timeout
-	shortWatchWait   = 20 * time.Millisecond  // the same after a failure, and when the watch of a shared service is reopened
-	shortTimeout     = 230 * time.Millisecond // limit for a response beyond the wait, while no list is known and after a failure
-	initialBackoff   = 50 * time.Millisecond  // pause after the first failed call
-	maxBackoff       = 100 * time.Millisecond // limit for the pause between failed calls
-	fullTimeoutEvery = 16                     // one call in this many after a failure gets responseTimeout, so that a slow agent is not ignored
-)
-
 // minWatchInterval is the shortest time from the start of a watch that tells nothing new to the next one. A service that does not
 // delay its responses would otherwise be called without a pause.
 const minWatchInterval = 10 * time.Millisecond
@@ -70,6 +48,8 @@
 	// Guard checks each whole list. Of a list that it does not accept, only the entries are applied, as changes: caches that the list
 	// lacks are kept, and the list is fetched again.
 	Guard roster.Guard[time.Duration]
+	// DialContext opens connections to the service; nil: as net.Dialer does, within dialTimeout.
+	DialContext func(ctx context.Context, network, addr string) (net.Conn, error)
 	// OriginKind is the machine type of the origin, which does not count as a cache.
 	OriginKind int
 
@@ -143,15 +123,19 @@
 
 // Run calls the service until ctx ends. A failure leaves the last list valid.
 func (w *Watcher) Run(ctx context.Context) {
-	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: responseTimeout}).DialContext, MaxConnsPerHost: 2,
+	dial := w.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	transport := &http.Transport{DialContext: dial, MaxConnsPerHost: 2,
 		MaxResponseHeaderBytes: maxHeaderBytes, DisableCompression: true}
 	client := &http.Client{Transport: transport}
 	defer transport.CloseIdleConnections()
 	var version *uint64
 	var versionAddr string // the address that version comes from: versions of two agents are not comparable
-	backoff, failures := initialBackoff, 0
+	calls := listwatch.Calls[time.Duration]{Timing: w.timing()}
+	backoff := initialBackoff
 	calling := !w.OnDemand
-	reopen := false // the last watch timed out: the next call follows at once, with the short wait
 	for ctx.Err() == nil {
 		for w.OnDemand && !calling {
 			select {
@@ -168,13 +152,12 @@
 				version = w.knownVersion
 			}
 			versionAddr, backoff = addr, initialBackoff
+			calls.AddressChanged()
 			transport.CloseIdleConnections()
 		}
 		w.calls.Add(1)
-		short := reopen || !w.OnDemand && (version == nil || failures > 0)
-		fullTimeout := failures%fullTimeoutEvery == fullTimeoutEvery-1
 		startedAt := time.Now()
-		next, err := w.fetch(call, client, addr, version, short, fullTimeout)
+		next, err := w.fetch(call, client, addr, version, calls.Next(version != nil))
 		callCancelled := call.Err() != nil // the address changed, or ctx has ended
 		if err == nil {
 			if version != nil && *next == *version {
@@ -182,12 +165,12 @@
 			}
 			done()
 			w.version.Store(*next)
-			if version, backoff, reopen = next, initialBackoff, false; failures > 0 {
+			version, backoff = next, initialBackoff
+			if failures := calls.Answered(); failures > 0 {
 				if w.OnDemand { // tells the module, which decides on the next call, that the service has recovered even if nothing changed
 					w.OnUpdate(policy.ListDelta, nil)
 				}
 				w.Log.Info().Int("faults", failures).Msg("discovery responds again")
-				failures = 0
 			}
 			continue
 		}
@@ -204,7 +187,8 @@
 			continue
 		}
 		w.failures.Add(1)
-		if failures++; failures == 1 {
+		wasFullWatch := calls.Failed()
+		if calls.Failures() == 1 {
 			w.Log.Warn().Err(err).Msg("discovery call failed; keeping the last list")
 		}
 		var invalidDocument *invalidDocumentError
@@ -216,11 +200,10 @@
 			// The service regards the changes that a timed-out watch has missed as delivered by now. Drains among them may have begun, and the
 			// pause between failed calls would use up their grace period. The watch is therefore reopened at once, but only once, so that
 			// a service that does not respond gets fewer calls.
-			if timedOut := errors.Is(err, context.DeadlineExceeded) && version != nil; timedOut && !reopen {
-				reopen = true
+			if wasFullWatch && version != nil && errors.Is(err, context.DeadlineExceeded) {
 				continue
 			}
-			calling, reopen = false, false
+			calling = false
 			w.OnUpdate(policy.ListFailed, nil)
 			continue
 		}
@@ -300,10 +283,8 @@
 	}
 }
 
-// fetch makes one call and delivers its list or changes. version is the version of the known list; nil requests the whole list. short
-// selects shortWatchWait, and for an agent also shortTimeout unless fullTimeout is set. Run sets short for an agent while no list is known
-// and after a failure, and for a shared service after a watch that timed out.
-func (w *Watcher) fetch(ctx context.Context, client *http.Client, addr string, version *uint64, short, fullTimeout bool) (next *uint64, err error) {
+// fetch makes one call and delivers its list or changes. version is the version of the known list; nil requests the whole list.
+func (w *Watcher) fetch(ctx context.Context, client *http.Client, addr string, version *uint64, timing listwatch.Call[time.Duration]) (next *uint64, err error) {
 	defer func() {
 		if recovered := recover(); recovered != nil {
 			w.Log.Error().Interface("panic", recovered).Bytes("stack", debug.Stack()).Msg("panic while processing a discovery response")
@@ -311,28 +292,10 @@
 		}
 	}()
 	u := url.URL{Scheme: "http", Host: addr, Path: "/catalog/members"}
-	timeout := responseTimeout
-	if w.OnDemand { // a call that times out in the service's queue still costs the service work, and its retry adds more
-		timeout = onDemandTimeout
-	}
-	wait := onDemandWait
-	switch {
-	case w.OnDemand && short:
-		wait = shortWatchWait
-	case w.OnDemand && version != nil:
-		timeout = onDemandWatchTimeout
-	case short && fullTimeout:
-		wait = shortWatchWait
-	case short:
-		timeout, wait = shortTimeout, shortWatchWait
-	case !w.OnDemand:
-		wait = watchWait
-	}
 	if version != nil {
-		u.RawQuery = "index=" + strconv.FormatUint(*version, 10) + "&wait=" + strconv.Itoa(int(wait/time.Millisecond))
-		timeout += wait
+		u.RawQuery = "index=" + strconv.FormatUint(*version, 10) + "&wait=" + strconv.Itoa(int(timing.Wait/time.Millisecond))
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, timing.Timeout)
 	defer cancel()
 	if !w.OnDemand {
 		// net/http resends a call whose connection broke. That call would have the long wait, to an agent that may be silent by now.
--- a/policy/list.go
+++ b/policy/list.go
@@ -13,7 +13,7 @@
 // ListArrived takes the whole cache list, changes to it, or a failed call to the list service.
 func (b *Balancer) ListArrived(kind ListKind, entries []Entry) {
 	if kind == ListFailed {
-		b.host.Timer(listToken, b.randomBetween(0, b.listBackoff.RecordFailure(b.AskEvery/2, 2*b.AskEvery)))
+		b.host.Timer(listToken, b.randomBetween(b.listRetryPause()))
 		return
 	}
 	b.listBackoff.Reset()
@@ -65,6 +65,17 @@
 	b.drainOriginQueue()
 }
 
+// listRetryPause records a failed call to the list service, and returns the range from which the pause before the next one is drawn. Under
+// MaxListPause it leaves out the lower half: calls can't get ever rarer then, and must not come close to each other instead.
+func (b *Balancer) listRetryPause() (shortest, longest Time) {
+	if b.MaxListPause == 0 {
+		return 0, b.listBackoff.RecordFailure(b.AskEvery/2, 2*b.AskEvery)
+	}
+	limit := min(b.AskEvery/2, b.MaxListPause)
+	longest = b.listBackoff.RecordFailure(limit/2, limit)
+	return longest / 2, longest
+}
+
 // assignBuckets gives each ranked cache a bucket. If ranks were used as buckets, they would shift whenever a
 // cache leaves, and most keys with them. So a rank only decides which cache chooses first among many buckets:
 // all proxies agree on the result, and a restarted cache gets its bucket back.
--- a/policy/types.go
+++ b/policy/types.go
@@ -93,6 +93,7 @@
 	Index          int       // number of this proxy, from 0
 	AskList        bool      // call the list service
 	AskEvery       Time      // interval between calls of all proxies to the list service
+	MaxListPause   Time      // longest pause after a failed call to the list service; 0: AskEvery alone bounds it
 	Aside          bool      // cache-aside: a miss is answered by a push to the origin
 	OriginKind     int       // kind of machine that marks the origin in the list; -1: no origin is listed
 	ColdFrom       float64   // share of its capacity that a cache has at its start, 0 to 1
