Wait for the counter and stop each proxy in tests that failed now and then

Proxies that a test leaves running go on to call discovery at a port that another test's listener gets, which TestNoAttemptPassesMoreThanIsLeft of internal/pool counts as a request. TestAClientThatDoesNotReadGivesWayWhileMemoryIsShort took a value not written after 1 ms for a full buffer of the kernel.

Change, each as strict as before: process.waitForMetric waits until the counter has the same value (TestRequestsBehindACutValueAreAnswered, TestNewSettingsDuringAnUpgrade, TestTheOldProcessServesOnIfTheNewOneDies, TestACopiedIDIsRefusedByBothProcessesOfAnUpgrade); the end of a test stops the proxies that it started, and fails if one doesn't end; the test of the slow client sends values until the client is closed for one, and waits for a block that is just given back.

--- a/internal/daemon/cut_value_test.go
+++ b/internal/daemon/cut_value_test.go
@@ -112,7 +112,5 @@
 			}
 		})
 	}
-	if n := p.metric(`svc_served{class="buy"}`); n != 3 {
-		t.Errorf("%d writes served", n)
-	}
+	p.waitForMetric(`svc_served{class="buy"}`, 3)
 }
--- a/internal/daemon/env_test.go
+++ b/internal/daemon/env_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -233,6 +234,7 @@
 	path    string // of the configuration
 	signals chan os.Signal
 	ended   chan error    // receives the result of run
+	stopped chan struct{} // closed behind that
 	log     *bytes.Buffer // nil if the log goes elsewhere
 }
 
@@ -256,14 +258,17 @@
 		path:    filepath.Join(env.t.TempDir(), "config.json"),
 		signals: make(chan os.Signal, 4),
 		ended:   make(chan error, 1),
+		stopped: make(chan struct{}),
 	}
 	p.log, _ = log.(*bytes.Buffer)
 	p.writeConfig(change(env.config(p, "read")))
 	go func() {
+		defer close(p.stopped)
 		p.ended <- run(func(name string) string {
 			return map[string]string{"BALANCER_CONFIG": p.path, "BALANCER_CONTROL": p.control, "TMPDIR": env.dir, "MINTTRAY_OPERATORS": env.operatorsPath}[name]
 		}, p.signals, log, env.newModule)
 	}()
+	env.t.Cleanup(p.stop)
 	for giveUpAt := time.Now().Add(testTimeout); ; time.Sleep(2 * time.Millisecond) {
 		if status, _ := p.call("GET", "/_ready", ""); status == 200 {
 			return p
@@ -274,6 +279,21 @@
 	}
 }
 
+// stop ends a process that the test has left running: it would go on to call discovery at a port that another test's listener gets.
+func (p *process) stop() {
+	select {
+	case <-p.stopped:
+		return
+	case p.signals <- syscall.SIGTERM:
+	default: // stop signals wait to be read
+	}
+	select {
+	case <-p.stopped:
+	case <-time.After(testTimeout):
+		p.env.t.Errorf("the process has not ended within %v of its stop", testTimeout)
+	}
+}
+
 // writeConfigWithClass writes the configuration with another name for its only category.
 func (p *process) writeConfigWithClass(class string) { p.writeConfig(p.env.config(p, class)) }
 
@@ -316,6 +336,13 @@
 	return value
 }
 
+// waitForMetric waits until a metric has a value. A request is counted just after its answer has been written, so that its client may have
+// the answer before.
+func (p *process) waitForMetric(name string, want int) {
+	p.env.t.Helper()
+	p.waitFor(fmt.Sprintf("%s is %d", name, want), func() bool { return p.metric(name) == want })
+}
+
 // waitFor waits until a condition holds. The test fails if it does not within testTimeout.
 func (p *process) waitFor(what string, holds func() bool) {
 	p.env.t.Helper()
--- a/internal/daemon/restart_test.go
+++ b/internal/daemon/restart_test.go
@@ -82,9 +82,9 @@
 	getOfNewClass(oldConn, oldReader, "by-the-old")
 	newConn, newReader := env.dial()
 	getOfNewClass(newConn, newReader, "by-the-new")
-	if byOld, byNew := old.metric(`svc_served{class="look"}`), next.metric(`svc_served{class="look"}`); byOld+byNew != 2 {
-		t.Errorf("%d served by the old process and %d by the new one, want 2 in all", byOld, byNew)
-	}
+	old.waitFor("both requests of the new class counted, by either process", func() bool {
+		return old.metric(`svc_served{class="look"}`)+next.metric(`svc_served{class="look"}`) == 2
+	})
 	old.signals <- syscall.SIGTERM
 	<-old.ended
 	getOfNewClass(newConn, newReader, "after")
--- a/internal/daemon/shared_ids_test.go
+++ b/internal/daemon/shared_ids_test.go
@@ -114,9 +114,7 @@
 	if got := readReply(t, fromNew); got != "at-new" {
 		t.Errorf("at-new was answered %q", got)
 	}
-	if n := next.metric(`svc_served{class="buy"}`); n != 1 {
-		t.Errorf("the new process has served %d writes: the clients were not where the test wants them", n)
-	}
+	next.waitForMetric(`svc_served{class="buy"}`, 1) // otherwise the clients are not where the test wants them
 	// What the old process has run stays taken behind its end, and at the next upgrade.
 	old.signals <- syscall.SIGTERM
 	<-old.ended
--- a/internal/daemon/upgrade_test.go
+++ b/internal/daemon/upgrade_test.go
@@ -113,9 +113,7 @@
 	next.signals <- syscall.SIGTERM
 	<-next.ended
 	env.sendRequests(0, 20)
-	if n := old.metric(`svc_served{class="read"}`); n != 20 {
-		t.Errorf("%d of 20 served by the old process", n)
-	}
+	old.waitForMetric(`svc_served{class="read"}`, 20)
 	old.signals <- syscall.SIGTERM
 	<-old.ended
 }
--- a/internal/front/slow_reader_test.go
+++ b/internal/front/slow_reader_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"testing"
-	"time"
 
 	"minttray/internal/memory"
 )
@@ -14,9 +14,11 @@
 // lendValue returns a block that holds a value of size bytes.
 func lendValue(t *testing.T, p *memory.Pool, size int) ([]byte, *memory.Block) {
 	t.Helper()
-	block := p.TryAcquire()
-	if block == nil {
-		t.Fatal("no block left")
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	block, err := p.Acquire(ctx) // one counts as given back just before it is
+	if err != nil {
+		t.Fatal(err)
 	}
 	value := block.Bytes()[:size]
 	for i := range value {
@@ -65,12 +67,13 @@
 	blocks := memory.NewPool(memory.BlockSize)
 	stuck, good := dial(t, srv), dial(t, srv)
 	stuck.Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
-	for i := 0; blocks.Usage().Lent == 0; i++ { // the kernel takes the first values
-		stuck.send(getCommand(fmt.Sprint(i)))
-		receive(t, e.submitted).Reply.AckedBlock(lendValue(t, blocks, 64<<10))
-		time.Sleep(time.Millisecond)
-	}
+	sent := 0
 	waitUntil(t, "the stuck client's connection to be closed", func() bool {
+		if srv.slowReaders.Load() == 0 && blocks.Usage().Lent == 0 { // the kernel has taken all values so far
+			stuck.send(getCommand(fmt.Sprint(sent)))
+			receive(t, e.submitted).Reply.AckedBlock(lendValue(t, blocks, 64<<10))
+			sent++
+		}
 		srv.ReclaimValues()
 		return srv.slowReaders.Load() > 0 && blocks.Usage().Lent == 0
 	})
