Split the discovery watcher's Run and fetch into steps of one job each

Cause: Run and fetch of internal/discovery had grown long, and the wait for a time or the end of a call stood there three times.

Change: newTransport, awaitWatchRequest, sleep, get and deliver; behaviour as it was.

--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -121,14 +121,40 @@
 	return members, err
 }
 
-// Run calls the service until ctx ends. A failure leaves the last list valid.
-func (w *Watcher) Run(ctx context.Context) {
+// newTransport returns the transport for the calls.
+func (w *Watcher) newTransport() *http.Transport {
 	dial := w.DialContext
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	transport := &http.Transport{DialContext: dial, MaxConnsPerHost: 2,
-		MaxResponseHeaderBytes: maxHeaderBytes, DisableCompression: true}
+	return &http.Transport{DialContext: dial, MaxConnsPerHost: 2, MaxResponseHeaderBytes: maxHeaderBytes, DisableCompression: true}
+}
+
+// awaitWatchRequest waits for a call of Watch(true), and reports whether there was one before ctx ended.
+func (w *Watcher) awaitWatchRequest(ctx context.Context) bool {
+	for {
+		select {
+		case on := <-w.watchRequests:
+			if on {
+				return true
+			}
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// sleep waits for a time, or until ctx ends.
+func sleep(ctx context.Context, span time.Duration) {
+	select {
+	case <-time.After(span):
+	case <-ctx.Done():
+	}
+}
+
+// Run calls the service until ctx ends. A failure leaves the last list valid.
+func (w *Watcher) Run(ctx context.Context) {
+	transport := w.newTransport()
 	client := &http.Client{Transport: transport}
 	defer transport.CloseIdleConnections()
 	var version *uint64
@@ -137,13 +163,10 @@
 	backoff := initialBackoff
 	calling := !w.OnDemand
 	for ctx.Err() == nil {
-		for w.OnDemand && !calling {
-			select {
-			case calling = <-w.watchRequests:
-			case <-ctx.Done():
-				return
-			}
+		if !calling && !w.awaitWatchRequest(ctx) {
+			return
 		}
+		calling = true
 		addr, call, done := w.beginCall(ctx)
 		if addr != versionAddr {
 			// From a shared service, the whole list is one line per cache for each proxy. The changes since the list that this proxy
@@ -179,10 +202,7 @@
 		}
 		if errors.Is(err, errSuspectList) {
 			version, backoff = nil, initialBackoff
-			select {
-			case <-time.After(w.Guard.ConfirmAfter / 2):
-			case <-call.Done():
-			}
+			sleep(call, w.Guard.ConfirmAfter/2)
 			done()
 			continue
 		}
@@ -207,10 +227,7 @@
 			w.OnUpdate(policy.ListFailed, nil)
 			continue
 		}
-		select {
-		case <-time.After(backoff):
-		case <-call.Done(): // a new address does not wait for the back-off of the old one
-		}
+		sleep(call, backoff) // a new address does not wait for the back-off of the old one
 		done()
 		backoff = min(2*backoff, maxBackoff)
 	}
@@ -224,10 +241,7 @@
 		return
 	}
 	w.emptyWatches.Add(1)
-	select {
-	case <-time.After(pause):
-	case <-call.Done():
-	}
+	sleep(call, pause)
 }
 
 // EmptyWatches returns how many watches told nothing new and were answered sooner than minWatchInterval. A service that delays its
@@ -291,6 +305,15 @@
 			err = &invalidDocumentError{errors.New("panic")}
 		}
 	}()
+	text, err := w.get(ctx, client, addr, version, timing)
+	if err != nil {
+		return nil, err
+	}
+	return w.deliver(addr, version == nil, text)
+}
+
+// get makes one call and returns the document of its response.
+func (w *Watcher) get(ctx context.Context, client *http.Client, addr string, version *uint64, timing listwatch.Call[time.Duration]) (text []byte, err error) {
 	u := url.URL{Scheme: "http", Host: addr, Path: "/catalog/members"}
 	if version != nil {
 		u.RawQuery = "index=" + strconv.FormatUint(*version, 10) + "&wait=" + strconv.Itoa(int(timing.Wait/time.Millisecond))
@@ -315,7 +338,7 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes+1))
+	text, err = io.ReadAll(io.LimitReader(resp.Body, maxListBytes+1))
 	if err != nil {
 		return nil, err
 	}
@@ -325,6 +348,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("discovery: %s", resp.Status)
 	}
+	return text, nil
+}
+
+// deliver delivers the list or the changes of a document that came from an address, and returns its version.
+func (w *Watcher) deliver(addr string, wholeRequested bool, text []byte) (version *uint64, err error) {
 	doc, members, err := w.NameTable.decode(text)
 	if err != nil {
 		return nil, &invalidDocumentError{err}
@@ -334,7 +362,7 @@
 	if addr != w.addr { // a response of the old agent must not be delivered after the change
 		return nil, fmt.Errorf("discovery: address changed from %s to %s during the call", addr, w.addr)
 	}
-	whole := doc.Reset || version == nil
+	whole := doc.Reset || wholeRequested
 	if whole && w.checkSuspect(members) {
 		if len(members) > 0 {
 			w.trackInUse(false, members)
