Wait for the client's close in a test that took it to arrive within 10 ms

It slept 10 ms for the close to arrive.

Change: the test waits until the server's kernel has the close, and then lets the reader go on. It is as strict as before.

--- a/internal/front/read_turn_test.go
+++ b/internal/front/read_turn_test.go
@@ -59,7 +59,9 @@
 		c.send(getCommand(fmt.Sprint("id", i)))
 	}
 	c.Close()
-	time.Sleep(10 * time.Millisecond) // for the close to arrive, on loopback
+	waitUntil(t, "the close to arrive", func() bool {
+		return srv.withOnlyConn(func(c *conn) bool { return c.source.hasRemoteClose() })
+	})
 	<-srv.turns
 	waitUntil(t, "the connection to end", func() bool { return srv.OpenConns() == 0 })
 	if len(e.submitted) > 0 {
