--- a/internal/discovery/timing.go
+++ b/internal/discovery/timing.go
@@ -6,10 +6,10 @@
 	"minttray/decide/listwatch"
 )
 
-// OnDemandTiming holds the times of calls to a discovery service that all proxies share. They are made on demand: the decision module
+// onDemandTiming holds the times of calls to a discovery service that all proxies share. They are made on demand: the decision module
 // requests the first one, and the next one after each failure. Calls queue at such a service, and one that times out in its queue still costs it
 // work, so a call gets its time to be answered.
-var OnDemandTiming = listwatch.Timing[time.Duration]{
+var onDemandTiming = listwatch.Timing[time.Duration]{
 	Wait:         5 * time.Second,
 	WatchLimit:   2 * time.Second, // by then the service regards changes as told, whether or not they arrived
 	ShortWait:    20 * time.Millisecond,
@@ -23,7 +23,7 @@
 const noticedWithin = 6 * time.Second
 
 // MaxOnDemandPause returns the longest pause between a failed call to a shared service and the next one.
-func MaxOnDemandPause() time.Duration { return OnDemandTiming.MaxPause(noticedWithin) }
+func MaxOnDemandPause() time.Duration { return onDemandTiming.MaxPause(noticedWithin) }
 
 // agentTiming holds the times of calls to a discovery agent on the proxy's own machine, which responds immediately and at no cost. When a silent
 // agent recovers, the changes that it receives are regarded as told at that moment, and a long call to the silent agent could outlast the grace
@@ -46,7 +46,7 @@
 // timing returns the times of the watcher's calls.
 func (w *Watcher) timing() listwatch.Timing[time.Duration] {
 	if w.OnDemand {
-		return OnDemandTiming
+		return onDemandTiming
 	}
 	return agentTiming
 }
--- a/internal/front/pause_owner_test.go
+++ b/internal/front/pause_owner_test.go
@@ -85,6 +85,50 @@
 	}
 }
 
+// crossing is a pair of requests for long values on one connection, whose calls of MayStream cross.
+type crossing struct {
+	earlier, later *engine.Op  // no earlier one: its value has been written already
+	earlierAnswer  <-chan bool // of its MayStream; nil: it has been received
+}
+
+// crossAfterReading has the earlier request ask once both have been read.
+func crossAfterReading(c *client, e *fakeEngine) crossing {
+	earlier, later := openTwo(c, e)
+	return crossing{earlier, later, startMayStream(earlier)}
+}
+
+// crossWhileReading has the earlier request ask while the later one is read. If its value may be passed on, the later one is not read
+// before that has been written.
+func crossWhileReading(c *client, e *fakeEngine) crossing {
+	c.t.Helper()
+	c.send(getCommand("earlier"))
+	earlier := receive(c.t, e.submitted)
+	answer := startMayStream(earlier)
+	c.send(getCommand("later"))
+	select {
+	case later := <-e.submitted:
+		return crossing{earlier, later, answer}
+	case granted := <-answer:
+		if !granted {
+			return crossing{earlier, receive(c.t, e.submitted), nil}
+		}
+	}
+	streamAlone(c, e, earlier)
+	return crossing{nil, receive(c.t, e.submitted), nil}
+}
+
+// streamAlone passes a value on, behind which nothing may be submitted before it is written.
+func streamAlone(c *client, e *fakeEngine, o *engine.Op) {
+	c.t.Helper()
+	w := streamHalf(c, o)
+	if len(e.submitted) > 0 {
+		c.t.Fatal("a request was submitted behind a value that is being passed on")
+	}
+	fmt.Fprint(w, valueHalf)
+	w.Close()
+	c.expect(valueHalf)
+}
+
 // Guards against a value that is passed on while commands are read behind it, whichever of two requests asks first and however their
 // calls cross: a grant holds until its value is written, and the reader reads on then.
 func TestNothingIsReadBehindAGrantedValueHoweverRequestsCross(t *testing.T) {
@@ -92,54 +136,25 @@
 	srv, e := startServer(t, nil)
 	c := dial(t, srv)
 	for n := range pauseCrossings {
-		var earlier, later *engine.Op
-		var earlierAnswer <-chan bool
-		if n%2 == 0 { // both are read before they ask
-			earlier, later = openTwo(c, e)
-			earlierAnswer = startMayStream(earlier)
-		} else { // the later one is read while the earlier one asks
-			c.send(getCommand("earlier"))
-			earlier = receive(t, e.submitted)
-			earlierAnswer = startMayStream(earlier)
-			c.send(getCommand("later"))
-			select {
-			case later = <-e.submitted:
-			case granted := <-earlierAnswer:
-				if earlierAnswer = nil; granted { // nothing more is read until the value is written
-					w := streamHalf(c, earlier)
-					if len(e.submitted) > 0 {
-						t.Fatalf("crossing %d: a request was submitted behind the earlier value", n)
-					}
-					fmt.Fprint(w, valueHalf)
-					w.Close()
-					c.expect(valueHalf)
-					later, earlier = receive(t, e.submitted), nil
-				} else {
-					later = receive(t, e.submitted)
-				}
-			}
+		cross := crossAfterReading
+		if n%2 == 1 {
+			cross = crossWhileReading
 		}
-		laterAnswers := []<-chan bool{startMayStream(later), startMayStream(later)} // of two attempts
-		for _, answer := range laterAnswers {
+		requests := cross(c, e)
+		for _, answer := range []<-chan bool{startMayStream(requests.later), startMayStream(requests.later)} { // of two attempts
 			if !receive(t, answer) {
 				t.Fatalf("crossing %d: the last value may not be passed on", n)
 			}
 		}
-		if earlier != nil {
-			if earlierAnswer != nil && receive(t, earlierAnswer) {
-				t.Fatalf("crossing %d: the earlier value may be passed on", n)
-			}
-			earlier.Reply.Acked([]byte("v"))
+		if requests.earlierAnswer != nil && receive(t, requests.earlierAnswer) {
+			t.Fatalf("crossing %d: the earlier value may be passed on", n)
+		}
+		if requests.earlier != nil {
+			requests.earlier.Reply.Acked([]byte("v"))
 			c.expect("$1", "v")
 		}
 		sendBehind(c, srv, e)
-		w := streamHalf(c, later)
-		if len(e.submitted) > 0 {
-			t.Fatalf("crossing %d: a request was submitted behind the last value", n)
-		}
-		fmt.Fprint(w, valueHalf)
-		w.Close()
-		c.expect(valueHalf)
+		streamAlone(c, e, requests.later)
 		receive(t, e.submitted).Reply.Nacked(0)
 		c.expect("-BUSY")
 	}
