Test that no close of a connection ends the pause behind a passed-on value

Change: TestNoCloseOfAConnectionEndsThePauseOfItsValue begins each kind of close behind the grant and beside the open value, with an earlier request that ends and a command that is sent behind the value.

--- a/internal/front/pause_owner_test.go
+++ b/internal/front/pause_owner_test.go
@@ -216,3 +216,30 @@
 		}
 	}
 }
+
+// Guards against a request that is read behind a value that is being passed on because the proxy begins to close the connection, or another
+// request of it ends: the pause outlasts both.
+func TestNoCloseOfAConnectionEndsThePauseOfItsValue(t *testing.T) {
+	for name, end := range closers {
+		t.Run(name, func(t *testing.T) {
+			srv, e := startServer(t, nil)
+			c := dial(t, srv)
+			earlier, later := openTwo(c, e)
+			if !mayStreamInTime(t, later) {
+				t.Fatal("the later value may not be passed on, though nothing is behind it")
+			}
+			end(srv)
+			mayStreamInTime(t, earlier)
+			earlier.Reply.Nacked(0)
+			c.expect("-BUSY")
+			sendBehind(c, srv, e)
+			w := streamHalf(c, later)
+			end(srv)
+			w.CloseWithError(errCutValue)
+			waitUntil(t, "closed", func() bool { return srv.OpenConns() == 0 })
+			if len(e.submitted) > 0 {
+				t.Error("a request was submitted behind a value that was cut")
+			}
+		})
+	}
+}
